Lay the types, messages and links that all parts share

Cause: an empty repository; parts that are to be written side by side need their seams first. Before: nothing. Conclusion: parts can be built on these signatures.

--- /dev/null
+++ b/damasklanding/budget/__init__.py
@@ -0,0 +1,6 @@
+"""
+damasklanding.budget
+~~~~~~~~~~~~~~~~~~~~
+
+Organisation rates held across the fleet.
+"""
--- /dev/null
+++ b/damasklanding/claims/__init__.py
@@ -0,0 +1,6 @@
+"""
+damasklanding.claims
+~~~~~~~~~~~~~~~~~~~~
+
+At-most-once execution of requests that must not repeat.
+"""
--- /dev/null
+++ b/damasklanding/clock.py
@@ -0,0 +1,21 @@
+"""
+damasklanding.clock
+~~~~~~~~~~~~~~~~~~~
+
+Time sources.  Durations are in milliseconds; functions that decide by time
+take ``now_ms`` as a callable so that tests can drive them.
+"""
+
+import time
+
+__all__ = ['monotonic_ms', 'wall_ms']
+
+
+def monotonic_ms():
+    """Return milliseconds on a clock that never steps back."""
+    return time.monotonic() * 1000.0
+
+
+def wall_ms():
+    """Return milliseconds since the epoch, for logs and retention only."""
+    return int(time.time() * 1000)
--- /dev/null
+++ b/damasklanding/control/__init__.py
@@ -0,0 +1,6 @@
+"""
+damasklanding.control
+~~~~~~~~~~~~~~~~~~~~~
+
+Replicated log, membership and administration on the control hosts.
+"""
--- /dev/null
+++ b/damasklanding/fleet/__init__.py
@@ -0,0 +1,6 @@
+"""
+damasklanding.fleet
+~~~~~~~~~~~~~~~~~~~
+
+Aggregates of the replicated configuration and their rules.
+"""
--- /dev/null
+++ b/damasklanding/fleet/commands.py
@@ -0,0 +1,164 @@
+"""
+damasklanding.fleet.commands
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Commands that change the replicated configuration.  They travel in an
+envelope that makes a resend harmless and a race visible.
+"""
+
+import msgspec
+
+from damasklanding.fleet.resources import Backend
+from damasklanding.fleet.resources import ControlHost
+from damasklanding.fleet.resources import Key
+from damasklanding.fleet.resources import Organisation
+from damasklanding.fleet.resources import Profile
+from damasklanding.fleet.resources import Service
+
+__all__ = [
+    'Command',
+    'DeleteResource',
+    'Envelope',
+    'ExpireBackends',
+    'GrantKey',
+    'HoldBackend',
+    'Outcome',
+    'PutControlHost',
+    'PutOrganisation',
+    'PutProfile',
+    'PutService',
+    'RegisterBackend',
+    'SetDataCentre',
+    'WithdrawKey',
+]
+
+
+class Command(msgspec.Struct, frozen=True, kw_only=True, tag_field='op'):
+    """Base of all commands."""
+
+
+class PutProfile(Command, frozen=True, kw_only=True, tag=True):
+    """Create or replace a profile."""
+
+    profile: Profile
+
+
+class PutService(Command, frozen=True, kw_only=True, tag=True):
+    """Create or replace a service with its routes."""
+
+    service: Service
+
+
+class PutOrganisation(Command, frozen=True, kw_only=True, tag=True):
+    """
+    Create an organisation or change its rate, burst and weight.
+
+    The keys of an existing organisation stay as they are.
+    """
+
+    organisation: Organisation
+
+
+class GrantKey(Command, frozen=True, kw_only=True, tag=True):
+    """Add a key to an organisation."""
+
+    organisation: str
+    key: Key
+
+
+class WithdrawKey(Command, frozen=True, kw_only=True, tag=True):
+    """Remove a key from an organisation."""
+
+    organisation: str
+    key_id: str
+
+
+class SetDataCentre(Command, frozen=True, kw_only=True, tag=True):
+    """Declare a data centre, or take it out or in."""
+
+    name: str
+    out: bool = False
+    region: str = ''
+
+
+class HoldBackend(Command, frozen=True, kw_only=True, tag=True):
+    """Drain a backend server, or return it to service."""
+
+    name: str
+    held_out: bool
+
+
+class RegisterBackend(Command, frozen=True, kw_only=True, tag=True):
+    """Write a node's own registration; ``held_out`` stays as it is."""
+
+    backend: Backend
+
+
+class ExpireBackends(Command, frozen=True, kw_only=True, tag=True):
+    """
+    Remove registrations whose lease has lapsed or that have left.
+
+    Each is removed only while it still has the given instance.
+    """
+
+    instances: dict[str, str]
+
+
+class PutControlHost(Command, frozen=True, kw_only=True, tag=True):
+    """Write the addresses of a control host."""
+
+    control_host: ControlHost
+
+
+class DeleteResource(Command, frozen=True, kw_only=True, tag=True):
+    """Remove a profile, service, organisation, data centre or host."""
+
+    kind: str
+    name: str
+
+
+AnyCommand = (
+    PutProfile
+    | PutService
+    | PutOrganisation
+    | GrantKey
+    | WithdrawKey
+    | SetDataCentre
+    | HoldBackend
+    | RegisterBackend
+    | ExpireBackends
+    | PutControlHost
+    | DeleteResource
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    A command with what makes it safe to resend and to race.
+
+    :ivar request_id: unique per intent; a resend carries the same one.
+    :ivar operator: who asked; names the winner of a race.
+    :ivar expected_revision: the resource's revision as the operator saw it,
+        0 for a resource that must not exist yet, None for any.
+    """
+
+    request_id: str
+    operator: str
+    command: AnyCommand
+    expected_revision: int | None = None
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    What became of a command; a resend gets the first one again.
+
+    :ivar revision: revision of the change, or the current one of the
+        resource on a conflict.
+    :ivar error: error code, empty on success.
+    :ivar winner: on a conflict, the operator whose change stands.
+    """
+
+    revision: int
+    error: str = ''
+    problem: str = ''
+    winner: str = ''
--- /dev/null
+++ b/damasklanding/fleet/resources.py
@@ -0,0 +1,234 @@
+"""
+damasklanding.fleet.resources
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Validated models of everything the replicated configuration holds.  A
+resource has a kind and a name; its ``revision`` is that of the change that
+last wrote it.
+"""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+__all__ = [
+    'KINDS',
+    'Backend',
+    'BudgetShard',
+    'Change',
+    'ControlHost',
+    'DataCentre',
+    'Key',
+    'Organisation',
+    'Profile',
+    'Resource',
+    'Route',
+    'Service',
+    'decode_changes',
+    'encode_changes',
+]
+
+Name = Annotated[str, Meta(pattern=r'^[a-z0-9][a-z0-9._-]{0,62}$')]
+Address = Annotated[str, Meta(pattern=r'^[0-9a-f.:\[\]]+:\d{1,5}$')]
+DurationMs = Annotated[int, Meta(ge=1, le=600_000)]
+
+
+class Resource(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    Base of all resources.
+
+    :ivar name: unique within the kind.
+    :ivar revision: revision of the change that last wrote it.
+    """
+
+    name: Name
+    revision: int = 0
+
+
+class Profile(Resource, frozen=True, kw_only=True):
+    """
+    How requests of a route are treated under overload.
+
+    :ivar importance: 0 to 3; higher is shed later.
+    :ivar idempotent: whether a request may run more than once.
+    :ivar longest_wait_ms: longest time a request may wait for a slot.
+    :ivar timeout_ms: deadline of a request that brings none.
+    :ivar retries: attempts beyond the first, over the whole call chain.
+    :ivar discipline: order within an organisation, ``fifo``, ``lifo`` or
+        ``adaptive`` (oldest first until overload stands, then newest first).
+    :ivar weight: share of slots among profiles of equal importance.
+    :ivar claim_retention_ms: how long an idempotency key is remembered.
+    :ivar objective_ratio: service-level objective, good over all requests.
+    :ivar objective_latency_ms: slower answers count as bad.
+    """
+
+    importance: Annotated[int, Meta(ge=0, le=3)] = 1
+    idempotent: bool = True
+    longest_wait_ms: Annotated[int, Meta(ge=0, le=600_000)] = 500
+    timeout_ms: DurationMs = 5_000
+    retries: Annotated[int, Meta(ge=0, le=3)] = 1
+    discipline: str = 'adaptive'
+    weight: Annotated[int, Meta(ge=1, le=1_000)] = 1
+    claim_retention_ms: Annotated[int, Meta(ge=60_000, le=86_400_000)] = (
+        3_600_000
+    )
+    objective_ratio: Annotated[float, Meta(gt=0, lt=1)] = 0.995
+    objective_latency_ms: DurationMs = 1_000
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    A path prefix of a service.
+
+    :ivar prefix: unique over all services; the longest match wins.
+    :ivar profile: name of the profile that applies.
+    :ivar access: ``open`` needs a key; ``internal`` answers only on the
+        egress side of a node.
+    :ivar methods: allowed methods; empty allows all.
+    """
+
+    prefix: Annotated[str, Meta(pattern=r'^/[^\s?#]*$', max_length=200)]
+    profile: Name
+    access: str = 'open'
+    methods: tuple[str, ...] = ()
+
+
+class Service(Resource, frozen=True, kw_only=True):
+    """A service with its routes."""
+
+    routes: tuple[Route, ...] = ()
+
+
+class Key(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    An organisation's key, held as a digest only.
+
+    :ivar key_id: public handle, used to list and withdraw.
+    :ivar digest: SHA-256 of the key, hexadecimal.
+    """
+
+    key_id: Name
+    digest: Annotated[str, Meta(pattern=r'^[0-9a-f]{64}$')]
+
+
+class Organisation(Resource, frozen=True, kw_only=True):
+    """
+    A caller organisation with its rate, burst, weight and keys.
+
+    :ivar rate_per_s: requests a second over all hosts together.
+    :ivar burst_requests: bucket size over all hosts together.
+    :ivar weight: share of slots under overload.
+    """
+
+    rate_per_s: Annotated[float, Meta(gt=0, le=10_000_000)]
+    burst_requests: Annotated[int, Meta(ge=1, le=100_000_000)]
+    weight: Annotated[int, Meta(ge=1, le=1_000)] = 1
+    keys: tuple[Key, ...] = ()
+
+
+class DataCentre(Resource, frozen=True, kw_only=True):
+    """A data centre; ``out`` keeps new work away from it."""
+
+    region: str = ''
+    out: bool = False
+
+
+class Backend(Resource, frozen=True, kw_only=True):
+    """
+    A backend server and the node beside it.
+
+    The name is the node's.  A node without a backend server registers with
+    an empty service.
+
+    :ivar instance: random per start of the node.
+    :ivar peer_address: where the node's peer listener answers.
+    :ivar state: ``in``, or ``draining`` for no new work.
+    :ivar held_out: drained by an operator, until an operator returns it.
+    :ivar cold_start: announced as cold when it last joined.
+    :ivar slots: announced concurrency, 0 where unknown.
+    """
+
+    instance: str
+    data_centre: Name
+    peer_address: Address
+    service: str = ''
+    state: str = 'in'
+    held_out: bool = False
+    cold_start: bool = True
+    slots: int = 0
+
+
+class BudgetShard(Resource, frozen=True, kw_only=True):
+    """
+    The node that owns the budgets of one shard of the organisations.
+
+    The resource's revision is the fencing epoch of its ownership.
+
+    :ivar owner: name of the owning node, empty while none is assigned.
+    """
+
+    owner: str = ''
+    owner_instance: str = ''
+    peer_address: str = ''
+
+
+class ControlHost(Resource, frozen=True, kw_only=True):
+    """
+    A control host known to the fleet.
+
+    :ivar peer_address: listener for nodes and other control hosts.
+    :ivar admin_address: listener of the administration API.
+    """
+
+    peer_address: Address
+    admin_address: str = ''
+
+
+KINDS = {
+    'profile': Profile,
+    'service': Service,
+    'organisation': Organisation,
+    'data_centre': DataCentre,
+    'backend': Backend,
+    'budget_shard': BudgetShard,
+    'control_host': ControlHost,
+}
+
+
+class Change(msgspec.Struct, frozen=True):
+    """
+    One written or removed resource.
+
+    :ivar kind: a key of :data:`KINDS`.
+    :ivar value: the encoded resource, or None where it was removed.
+    """
+
+    kind: str
+    name: str
+    value: msgspec.Raw | None = None
+
+    @classmethod
+    def put(cls, kind, resource):
+        """Return the change that writes a resource."""
+        return cls(kind, resource.name, msgspec.Raw(_encode(resource)))
+
+    def resource(self):
+        """Return the decoded resource, None where it was removed."""
+        if self.value is None:
+            return None
+        return msgspec.msgpack.decode(self.value, type=KINDS[self.kind])
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decoder = msgspec.msgpack.Decoder(list[Change])
+
+
+def encode_changes(changes):
+    """Encode a list of changes to bytes."""
+    return _encode(changes)
+
+
+def decode_changes(data):
+    """Decode bytes to a list of changes."""
+    return _decoder.decode(data)
--- /dev/null
+++ b/damasklanding/fleet/state.py
@@ -0,0 +1,97 @@
+"""
+damasklanding.fleet.state
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+All resources at one revision.  Control hosts and nodes hold the same class;
+changes only ever move it forward.
+"""
+
+from damasklanding.fleet.resources import KINDS
+from damasklanding.fleet.resources import Change
+
+__all__ = ['FleetState']
+
+
+class FleetState:
+    """
+    Resources by kind and name at a term and revision.
+
+    :ivar term: term of the log entry that made the latest change.
+    :ivar revision: index of that entry.
+    """
+
+    def __init__(self):
+        self.term = 0
+        self.revision = 0
+        self._resources = {kind: {} for kind in KINDS}
+
+    def get(self, kind, name):
+        """Return a resource or None."""
+        return self._resources[kind].get(name)
+
+    def all(self, kind):
+        """Return the resources of a kind by name; not to be changed."""
+        return self._resources[kind]
+
+    def position(self):
+        """Return the pair of term and revision."""
+        return self.term, self.revision
+
+    def apply_changes(self, term, revision, changes):
+        """
+        Apply the changes of a later revision.
+
+        :param changes: list of :class:`Change`.
+        :return: False, with nothing applied, where the state is already at
+            or past that position.
+        """
+        if (term, revision) <= (self.term, self.revision):
+            return False
+        self.merge(changes)
+        self.term = term
+        self.revision = revision
+        return True
+
+    def merge(self, changes):
+        """Write resources without moving the revision."""
+        for change in changes:
+            resources = self._resources[change.kind]
+            resource = change.resource()
+            if resource is None:
+                resources.pop(change.name, None)
+            else:
+                resources[change.name] = resource
+
+    def replace(self, term, revision, changes):
+        """
+        Take a whole snapshot of a later or equal position.
+
+        :return: list of changes that lead from the old state to the new.
+        """
+        if (term, revision) < (self.term, self.revision):
+            return []
+        fresh = {(change.kind, change.name) for change in changes}
+        gone = [
+            Change(kind, name)
+            for kind, resources in self._resources.items()
+            for name in resources
+            if (kind, name) not in fresh
+        ]
+        self.merge(gone)
+        self.merge(changes)
+        self.term = term
+        self.revision = revision
+        return gone + list(changes)
+
+    def snapshot(self, wanted=None):
+        """
+        Return all resources as changes.
+
+        :param wanted: function of kind and resource that selects some.
+        """
+        return [
+            Change.put(kind, resource)
+            for kind, resources in self._resources.items()
+            for resource in resources.values()
+            if wanted is None or wanted(kind, resource)
+        ]
--- /dev/null
+++ b/damasklanding/links.py
@@ -0,0 +1,74 @@
+"""
+damasklanding.links
+~~~~~~~~~~~~~~~~~~~
+
+Keeps at most one open link to each address and replaces it on demand.
+"""
+
+from gevent.lock import BoundedSemaphore
+
+from damasklanding.link import open_link
+
+__all__ = ['LinkPool']
+
+
+class LinkPool:
+    """Opens links on first use and reuses them until they close."""
+
+    def __init__(self, identity, secret, handlers=None, options=None):
+        self._identity = identity
+        self._secret = secret
+        self._handlers = handlers
+        self._options = options
+        self._links = {}
+        self._locks = {}
+
+    def get(self, address):
+        """
+        Return an open link to an address.
+
+        :raises Unavailable: where the peer can't be reached.
+        """
+        link = self._links.get(address)
+        if link is not None and not link.closed.is_set():
+            return link
+        lock = self._locks.setdefault(address, BoundedSemaphore(1))
+        with lock:
+            link = self._links.get(address)
+            if link is None or link.closed.is_set():
+                link = self._open(address)
+            return link
+
+    def peek(self, address):
+        """Return the open link to an address, or None."""
+        link = self._links.get(address)
+        if link is None or link.closed.is_set():
+            return None
+        return link
+
+    def request(self, address, message, timeout_ms):
+        """Send one message to an address and return the reply."""
+        return self.get(address).request(message, timeout_ms)
+
+    def forget(self, address):
+        """Close the link to an address that is no longer a peer."""
+        link = self._links.pop(address, None)
+        self._locks.pop(address, None)
+        if link is not None:
+            link.close()
+
+    def close(self):
+        """Close all links."""
+        for address in list(self._links):
+            self.forget(address)
+
+    def _open(self, address):
+        link = open_link(
+            address,
+            self._identity,
+            self._secret,
+            self._handlers,
+            self._options,
+        )
+        self._links[address] = link
+        return link
--- /dev/null
+++ b/damasklanding/messages.capnp
@@ -0,0 +1,297 @@
+@0xb7d1f3a2c45e9068;
+# Frames between the processes of a fleet.  One frame travels behind a
+# four-byte little-endian length.  `exchange` ties the frames of one exchange
+# together; it is chosen by the side that opens it.
+
+struct Frame {
+  exchange @0 :UInt64;
+  union {
+    none @1 :Void;
+    # connection
+    hello @2 :Hello;
+    challenge @3 :Challenge;
+    proof @4 :Proof;
+    ping @5 :Ping;
+    pong @6 :Pong;
+    problem @7 :Problem;
+    cancel @8 :Cancel;
+    # data path
+    callRequest @9 :CallRequest;
+    callAnswer @10 :CallAnswer;
+    bodyChunk @11 :BodyChunk;
+    window @12 :Window;
+    # control log
+    voteRequest @13 :VoteRequest;
+    voteReply @14 :VoteReply;
+    appendRequest @15 :AppendRequest;
+    appendReply @16 :AppendReply;
+    snapshotChunk @17 :SnapshotChunk;
+    snapshotReply @18 :SnapshotReply;
+    statusRequest @19 :StatusRequest;
+    statusReply @20 :StatusReply;
+    # configuration and membership
+    propose @21 :Propose;
+    proposeReply @22 :ProposeReply;
+    watch @23 :Watch;
+    watchSnapshot @24 :WatchSnapshot;
+    watchDelta @25 :WatchDelta;
+    beat @26 :Beat;
+    beatReply @27 :BeatReply;
+    renewLeases @28 :RenewLeases;
+    renewReply @29 :RenewReply;
+    # organisation budgets
+    grantRequest @30 :GrantRequest;
+    grant @31 :Grant;
+    grantReturn @32 :GrantReturn;
+    handover @33 :Handover;
+    accepted @34 :Accepted;
+    # at-most-once claims
+    claim @35 :Claim;
+    claimReply @36 :ClaimReply;
+    settle @37 :Settle;
+  }
+}
+
+struct Hello {
+  name @0 :Text;
+  role @1 :Text;
+  instance @2 :Text;
+  nonce @3 :Data;
+  version @4 :UInt32;
+}
+
+struct Challenge {
+  name @0 :Text;
+  role @1 :Text;
+  instance @2 :Text;
+  nonce @3 :Data;
+  proof @4 :Data;
+}
+
+struct Proof { proof @0 :Data; }
+
+struct Ping { seq @0 :UInt64; load @1 :Data; }
+struct Pong { seq @0 :UInt64; load @1 :Data; }
+
+struct Problem {
+  code @0 :Text;
+  problem @1 :Text;
+  remedy @2 :Text;
+  retryAfterMs @3 :UInt32;
+  outcome @4 :Text;         # ran, not-run or unknown
+  retriesLeft @5 :UInt8;
+  mayRetry @6 :Bool;
+  load @7 :Data;
+}
+
+struct Cancel { reason @0 :Text; }
+
+struct CallRequest {
+  requestId @0 :Text;
+  service @1 :Text;
+  profile @2 :Text;
+  organisation @3 :Text;
+  importance @4 :UInt8;
+  deadlineMs @5 :UInt32;    # time left when sent
+  sentMs @6 :UInt64;        # since the link was made, on the sender's clock
+  retriesLeft @7 :UInt8;
+  depth @8 :UInt8;
+  method @9 :Text;
+  path @10 :Text;
+  headers @11 :List(Text);  # name, value, name, value
+  body @12 :Data;
+  bodyFollows @13 :Bool;
+  idempotent @14 :Bool;
+  attempt @15 :UInt8;
+  entryOfChain @16 :Text;
+}
+
+struct CallAnswer {
+  status @0 :UInt16;
+  headers @1 :List(Text);
+  body @2 :Data;
+  bodyFollows @3 :Bool;
+  retriesLeft @4 :UInt8;
+  mayRetry @5 :Bool;
+  outcome @6 :Text;
+  load @7 :Data;
+}
+
+struct BodyChunk { data @0 :Data; last @1 :Bool; }
+struct Window { credit @0 :UInt32; }
+
+struct LogEntry {
+  term @0 :UInt64;
+  index @1 :UInt64;
+  kind @2 :Text;
+  payload @3 :Data;
+}
+
+struct VoteRequest {
+  group @0 :Text;
+  term @1 :UInt64;
+  candidate @2 :Text;
+  lastIndex @3 :UInt64;
+  lastTerm @4 :UInt64;
+  preVote @5 :Bool;
+  incarnation @6 :Text;
+}
+
+struct VoteReply {
+  term @0 :UInt64;
+  granted @1 :Bool;
+  incarnation @2 :Text;
+}
+
+struct AppendRequest {
+  group @0 :Text;
+  term @1 :UInt64;
+  leader @2 :Text;
+  previousIndex @3 :UInt64;
+  previousTerm @4 :UInt64;
+  entries @5 :List(LogEntry);
+  commitIndex @6 :UInt64;
+  seq @7 :UInt64;
+  confirmedAgeMs @8 :UInt32;
+}
+
+struct AppendReply {
+  term @0 :UInt64;
+  success @1 :Bool;
+  matchIndex @2 :UInt64;
+  incarnation @3 :Text;
+  seq @4 :UInt64;
+}
+
+struct SnapshotChunk {
+  group @0 :Text;
+  term @1 :UInt64;
+  leader @2 :Text;
+  lastIndex @3 :UInt64;
+  lastTerm @4 :UInt64;
+  offset @5 :UInt64;
+  data @6 :Data;
+  last @7 :Bool;
+}
+
+struct SnapshotReply {
+  term @0 :UInt64;
+  offset @1 :UInt64;
+  incarnation @2 :Text;
+}
+
+struct StatusRequest { group @0 :Text; }
+
+struct StatusReply {
+  name @0 :Text;
+  role @1 :Text;
+  term @2 :UInt64;
+  leader @3 :Text;
+  lastIndex @4 :UInt64;
+  commitIndex @5 :UInt64;
+  incarnation @6 :Text;
+  clusterId @7 :Text;
+  detail @8 :Data;
+}
+
+struct Propose { group @0 :Text; payload @1 :Data; forwarded @2 :Bool; }
+struct ProposeReply { outcome @0 :Data; }
+
+struct Watch {
+  name @0 :Text;
+  instance @1 :Text;
+  term @2 :UInt64;
+  revision @3 :UInt64;
+  services @4 :List(Text);
+  allServices @5 :Bool;
+}
+
+struct WatchSnapshot {
+  term @0 :UInt64;
+  revision @1 :UInt64;
+  changes @2 :Data;
+  service @3 :Text;         # set where it holds one service's servers only
+}
+
+struct WatchDelta {
+  term @0 :UInt64;
+  revision @1 :UInt64;
+  changes @2 :Data;
+}
+
+struct Beat {
+  seq @0 :UInt64;
+  revision @1 :UInt64;
+  services @2 :List(Text);  # further services to watch
+  status @3 :Data;
+}
+
+struct BeatReply {
+  seq @0 :UInt64;
+  term @1 :UInt64;
+  revision @2 :UInt64;
+  ageMs @3 :UInt32;
+  leader @4 :Text;
+}
+
+struct RenewLeases { names @0 :List(Text); instances @1 :List(Text); seq @2 :UInt64; }
+struct RenewReply { seq @0 :UInt64; term @1 :UInt64; ageMs @2 :UInt32; commitIndex @3 :UInt64; }
+
+struct GrantRequest {
+  organisation @0 :Text;
+  epoch @1 :UInt64;
+  wanted @2 :UInt32;
+  unused @3 :UInt32;
+  node @4 :Text;
+}
+
+struct Grant {
+  epoch @0 :UInt64;
+  tokens @1 :UInt32;
+  ttlMs @2 :UInt32;
+  retryAfterMs @3 :UInt32;
+  serial @4 :UInt64;
+}
+
+struct GrantReturn {
+  organisation @0 :Text;
+  epoch @1 :UInt64;
+  tokens @2 :UInt32;
+  serial @3 :UInt64;
+}
+
+struct Handover {
+  organisation @0 :Text;
+  epoch @1 :UInt64;
+  tokens @2 :Float64;
+}
+
+struct Accepted { revision @0 :UInt64; }
+
+struct Claim {
+  organisation @0 :Text;
+  key @1 :Text;
+  attempt @2 :Text;
+  fingerprint @3 :Text;
+  retentionMs @4 :UInt32;
+  waitMs @5 :UInt32;
+}
+
+struct ClaimReply {
+  verdict @0 :Text;         # granted, running, settled, mismatch
+  attempt @1 :Text;
+  status @2 :UInt16;
+  headers @3 :List(Text);
+  body @4 :Data;
+  outcome @5 :Text;
+}
+
+struct Settle {
+  organisation @0 :Text;
+  key @1 :Text;
+  attempt @2 :Text;
+  outcome @3 :Text;         # ran, not-run or unknown
+  status @4 :UInt16;
+  headers @5 :List(Text);
+  body @6 :Data;
+}
--- /dev/null
+++ b/damasklanding/metrics.py
@@ -0,0 +1,119 @@
+"""
+damasklanding.metrics
+~~~~~~~~~~~~~~~~~~~~~
+
+Counters and gauges by declared name.  Counting touches one dictionary; the
+aioprometheus registry is filled only when the metrics route is read.
+"""
+
+from damasklanding.errors import BadInput
+
+__all__ = ['COUNTERS', 'GAUGES', 'Metrics']
+
+#: Help text and label names by counter.
+COUNTERS = {
+    'requests_total': (
+        'Requests that entered the fleet here, by what became of them',
+        ('service', 'profile', 'organisation', 'outcome', 'reason'),
+    ),
+    'calls_total': (
+        'Calls for the backend server beside this node',
+        ('service', 'importance', 'reason'),
+    ),
+    'attempts_total': (
+        'Attempts sent to backend servers, by kind',
+        ('service', 'kind'),
+    ),
+    'refusals_total': (
+        'Refusals by the deciding part',
+        ('part', 'code', 'importance', 'organisation'),
+    ),
+    'input_errors_total': (
+        'Malformed input by listener',
+        ('listener', 'code'),
+    ),
+    'link_events_total': ('Peer connections by event', ('event',)),
+    'grants_total': ('Budget grants by result', ('result',)),
+    'claims_total': ('At-most-once claims by verdict', ('verdict',)),
+    'changes_total': ('Configuration changes applied', ('kind',)),
+    'elections_total': ('Elections by group and result', ('group', 'result')),
+}
+
+#: Help text and label names by gauge.
+GAUGES = {
+    'configuration_revision': ('Revision in force', ()),
+    'configuration_age_ms': ('Age of the proof of freshness', ()),
+    'concurrency_limit': ('Adaptive concurrency limit', ('service',)),
+    'concurrency_running': ('Calls running', ('service',)),
+    'queue_length': ('Calls waiting for a slot', ('service',)),
+    'cold': ('1 while the backend server counts as cold', ('service',)),
+}
+
+
+class Metrics:
+    """Counts by name and label values; renders on demand."""
+
+    def __init__(self):
+        self._counts = {}
+        self._gauges = {}
+        self._collectors = []
+
+    def add(self, name, *labels, amount=1):
+        """
+        Add to a declared counter.
+
+        :param labels: values in the order of the declaration.
+        """
+        key = (name, labels)
+        self._counts[key] = self._counts.get(key, 0) + amount
+
+    def set(self, name, value, *labels):
+        """Set a declared gauge."""
+        self._gauges[name, labels] = value
+
+    def collect_with(self, collector):
+        """Call a function before each rendering, to set gauges."""
+        self._collectors.append(collector)
+
+    def value(self, name, *labels):
+        """Return a counter's or gauge's value, 0 where never touched."""
+        key = (name, labels)
+        return self._counts.get(key, self._gauges.get(key, 0))
+
+    def total(self, name):
+        """Return the sum of a counter over all its labels."""
+        return sum(
+            count for (key, _), count in self._counts.items() if key == name
+        )
+
+    def render(self, accept=()):
+        """
+        Return the exposition as bytes and its HTTP headers.
+
+        :raises BadInput: where a counter was used without a declaration.
+        """
+        from aioprometheus import Counter
+        from aioprometheus import Gauge
+        from aioprometheus import Registry
+        from aioprometheus import render
+
+        for collector in self._collectors:
+            collector()
+        registry = Registry()
+        _fill(registry, Counter, COUNTERS, self._counts)
+        _fill(registry, Gauge, GAUGES, self._gauges)
+        return render(registry, list(accept))
+
+
+def _fill(registry, kind, declared, values):
+    collectors = {}
+    for (name, labels), value in sorted(values.items(), key=repr):
+        if name not in declared:
+            raise BadInput(f'metric {name} has no declaration')
+        text, label_names = declared[name]
+        collector = collectors.get(name)
+        if collector is None:
+            collector = kind(f'damasklanding_{name}', text, registry=registry)
+            collectors[name] = collector
+        names = dict(zip(label_names, map(str, labels), strict=True))
+        collector.set(names, value)
--- /dev/null
+++ b/damasklanding/node/__init__.py
@@ -0,0 +1,6 @@
+"""
+damasklanding.node
+~~~~~~~~~~~~~~~~~~
+
+Data path beside each backend server.
+"""
--- /dev/null
+++ b/damasklanding/policy/__init__.py
@@ -0,0 +1,6 @@
+"""
+damasklanding.policy
+~~~~~~~~~~~~~~~~~~~~
+
+Decisions under overload: limits, queues, retries and routing.
+"""
--- /dev/null
+++ b/damasklanding/wire.py
@@ -0,0 +1,579 @@
+"""
+damasklanding.wire
+~~~~~~~~~~~~~~~~~~
+
+Typed messages between processes and their Cap'n Proto encoding.  A frame is
+one message with the id of its exchange, behind a four-byte length.
+"""
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import fields
+import os
+import struct
+
+import capnp
+
+from damasklanding.errors import BadInput
+from damasklanding.errors import TooLarge
+
+__all__ = [
+    'MAX_FRAME_BYTES',
+    'MESSAGES',
+    'decode_frame',
+    'encode_frame',
+    'frame_length',
+]
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+PROTOCOL_VERSION = 1
+
+_LENGTH = struct.Struct('<I')
+_SCHEMA_PATH = os.path.join(os.path.dirname(__file__), 'messages.capnp')
+_schema = capnp.load(_SCHEMA_PATH)
+
+#: Message classes by the name of their union member.
+MESSAGES = {}
+
+
+def message(member):
+    """Register a data class as the message of a union member."""
+
+    def register(cls):
+        cls = dataclass(slots=True)(cls)
+        cls.member = member
+        MESSAGES[member] = cls
+        return cls
+
+    return register
+
+
+@message('hello')
+class Hello:
+    """First frame of a connection, from the side that opened it."""
+
+    name: str
+    role: str
+    instance: str
+    nonce: bytes
+    version: int = PROTOCOL_VERSION
+
+
+@message('challenge')
+class Challenge:
+    """Answer to a hello: proves the secret and asks for proof."""
+
+    name: str
+    role: str
+    instance: str
+    nonce: bytes
+    proof: bytes
+
+
+@message('proof')
+class Proof:
+    """The opener's proof that it holds the fleet secret."""
+
+    proof: bytes
+
+
+@message('ping')
+class Ping:
+    """Heartbeat of a connection, with the sender's load."""
+
+    seq: int
+    load: bytes = b''
+
+
+@message('pong')
+class Pong:
+    """Answer to a ping with the same number."""
+
+    seq: int
+    load: bytes = b''
+
+
+@message('problem')
+class Problem:
+    """
+    Ends an exchange with an error.
+
+    :ivar outcome: ``ran``, ``not-run`` or ``unknown``.
+    :ivar may_retry: false where a retry elsewhere would not help.
+    """
+
+    code: str
+    problem: str
+    remedy: str = ''
+    retry_after_ms: int = 0
+    outcome: str = 'unknown'
+    retries_left: int = 0
+    may_retry: bool = False
+    load: bytes = b''
+
+
+@message('cancel')
+class Cancel:
+    """Ends an exchange that its opener no longer wants."""
+
+    reason: str = ''
+
+
+@message('callRequest')
+class CallRequest:
+    """
+    A request for the backend server beside the receiving node.
+
+    :ivar deadline_ms: time left when sent.
+    :ivar sent_ms: sender's time since the link was made, which shows the
+        receiver how long the frame was held up.
+    """
+
+    request_id: str
+    service: str
+    profile: str
+    organisation: str
+    importance: int
+    deadline_ms: int
+    sent_ms: int
+    retries_left: int
+    depth: int
+    method: str
+    path: str
+    headers: list[str]
+    body: bytes = b''
+    body_follows: bool = False
+    idempotent: bool = False
+    attempt: int = 0
+    entry_of_chain: str = ''
+
+
+@message('callAnswer')
+class CallAnswer:
+    """Head of an answer, with the body where it is small."""
+
+    status: int
+    headers: list[str]
+    body: bytes = b''
+    body_follows: bool = False
+    retries_left: int = 0
+    may_retry: bool = False
+    outcome: str = 'ran'
+    load: bytes = b''
+
+
+@message('bodyChunk')
+class BodyChunk:
+    """A part of a streamed body; the last one is marked."""
+
+    data: bytes
+    last: bool = False
+
+
+@message('window')
+class Window:
+    """Lets the sender of a body send so many bytes more."""
+
+    credit: int
+
+
+@message('voteRequest')
+class VoteRequest:
+    """A candidate's request for a vote or, before it, a pre-vote."""
+
+    group: str
+    term: int
+    candidate: str
+    last_index: int
+    last_term: int
+    pre_vote: bool
+    incarnation: str
+
+
+@message('voteReply')
+class VoteReply:
+    """A replica's vote."""
+
+    term: int
+    granted: bool
+    incarnation: str
+
+
+@dataclass(slots=True)
+class LogEntry:
+    """One entry of a replicated log."""
+
+    term: int
+    index: int
+    kind: str
+    payload: bytes
+
+
+@message('appendRequest')
+class AppendRequest:
+    """
+    Entries and heartbeat from the leader.
+
+    :ivar confirmed_age_ms: time since the latest heartbeat that a quorum
+        has acknowledged was sent.
+    """
+
+    group: str
+    term: int
+    leader: str
+    previous_index: int
+    previous_term: int
+    entries: list[LogEntry] = field(default_factory=list)
+    commit_index: int = 0
+    seq: int = 0
+    confirmed_age_ms: int = 0
+
+
+@message('appendReply')
+class AppendReply:
+    """A follower's answer to entries and heartbeats."""
+
+    term: int
+    success: bool
+    match_index: int
+    incarnation: str
+    seq: int
+
+
+@message('snapshotChunk')
+class SnapshotChunk:
+    """A part of the leader's snapshot."""
+
+    group: str
+    term: int
+    leader: str
+    last_index: int
+    last_term: int
+    offset: int
+    data: bytes
+    last: bool
+
+
+@message('snapshotReply')
+class SnapshotReply:
+    """Acknowledges a part of a snapshot."""
+
+    term: int
+    offset: int
+    incarnation: str
+
+
+@message('statusRequest')
+class StatusRequest:
+    """Asks a control host about one of its replicas."""
+
+    group: str
+
+
+@message('statusReply')
+class StatusReply:
+    """What a control host knows about one of its replicas."""
+
+    name: str
+    role: str
+    term: int
+    leader: str
+    last_index: int
+    commit_index: int
+    incarnation: str
+    cluster_id: str
+    detail: bytes = b''
+
+
+@message('propose')
+class Propose:
+    """An encoded envelope for a replicated log."""
+
+    group: str
+    payload: bytes
+    forwarded: bool = False
+
+
+@message('proposeReply')
+class ProposeReply:
+    """The encoded outcome of a proposal."""
+
+    outcome: bytes
+
+
+@message('watch')
+class Watch:
+    """
+    Asks for all changes after a revision.
+
+    :ivar services: whose backend servers are wanted.
+    :ivar all_services: whether all backend servers are wanted.
+    """
+
+    name: str
+    instance: str
+    term: int
+    revision: int
+    services: list[str] = field(default_factory=list)
+    all_services: bool = False
+
+
+@message('watchSnapshot')
+class WatchSnapshot:
+    """The whole state, or one service's backend servers, at a revision."""
+
+    term: int
+    revision: int
+    changes: bytes
+    service: str = ''
+
+
+@message('watchDelta')
+class WatchDelta:
+    """The changes of one or more consecutive revisions."""
+
+    term: int
+    revision: int
+    changes: bytes
+
+
+@message('beat')
+class Beat:
+    """A watcher's heartbeat; renews its lease and asks for freshness."""
+
+    seq: int
+    revision: int
+    services: list[str] = field(default_factory=list)
+    status: bytes = b''
+
+
+@message('beatReply')
+class BeatReply:
+    """
+    States how old the source's proof of freshness is.
+
+    The state at ``revision`` was current ``age_ms`` before this was sent.
+    """
+
+    seq: int
+    term: int
+    revision: int
+    age_ms: int
+    leader: str = ''
+
+
+@message('renewLeases')
+class RenewLeases:
+    """A control host's report to the leader: nodes it has heard from."""
+
+    names: list[str]
+    instances: list[str]
+    seq: int
+
+
+@message('renewReply')
+class RenewReply:
+    """The leader's answer, with the age of its quorum's confirmation."""
+
+    seq: int
+    term: int
+    age_ms: int
+    commit_index: int
+
+
+@message('grantRequest')
+class GrantRequest:
+    """Asks the budget owner for tokens, handing back unused ones."""
+
+    organisation: str
+    epoch: int
+    wanted: int
+    unused: int
+    node: str
+
+
+@message('grant')
+class Grant:
+    """Tokens that lapse after their time to live."""
+
+    epoch: int
+    tokens: int
+    ttl_ms: int
+    retry_after_ms: int = 0
+    serial: int = 0
+
+
+@message('grantReturn')
+class GrantReturn:
+    """Hands back unused tokens of a grant that has not lapsed."""
+
+    organisation: str
+    epoch: int
+    tokens: int
+    serial: int
+
+
+@message('handover')
+class Handover:
+    """A stopping owner's last word to the next one."""
+
+    organisation: str
+    epoch: int
+    tokens: float
+
+
+@message('accepted')
+class Accepted:
+    """Plain acknowledgement."""
+
+    revision: int = 0
+
+
+@message('claim')
+class Claim:
+    """Asks to be the one that runs a request that may not repeat."""
+
+    organisation: str
+    key: str
+    attempt: str
+    fingerprint: str
+    retention_ms: int
+    wait_ms: int = 0
+
+
+@message('claimReply')
+class ClaimReply:
+    """Verdict on a claim, with the first outcome where it is kept."""
+
+    verdict: str
+    attempt: str = ''
+    status: int = 0
+    headers: list[str] = field(default_factory=list)
+    body: bytes = b''
+    outcome: str = ''
+
+
+@message('settle')
+class Settle:
+    """Records what became of a claimed request."""
+
+    organisation: str
+    key: str
+    attempt: str
+    outcome: str
+    status: int = 0
+    headers: list[str] = field(default_factory=list)
+    body: bytes = b''
+
+
+def _camel(name):
+    head, *rest = name.split('_')
+    return head + ''.join(part.capitalize() for part in rest)
+
+
+def _field_table(cls):
+    return [(item.name, _camel(item.name)) for item in fields(cls)]
+
+
+_FIELDS = {cls: _field_table(cls) for cls in MESSAGES.values()}
+_FIELDS[LogEntry] = _field_table(LogEntry)
+
+
+def _write(builder, value):
+    for name, wire_name in _FIELDS[type(value)]:
+        item = getattr(value, name)
+        if type(item) is list:
+            _write_list(builder, wire_name, item)
+        elif item:
+            setattr(builder, wire_name, item)
+
+
+def _write_list(builder, wire_name, items):
+    if not items:
+        return
+    if isinstance(items[0], LogEntry):
+        target = builder.init(wire_name, len(items))
+        for index, item in enumerate(items):
+            _write(target[index], item)
+    else:
+        setattr(builder, wire_name, items)
+
+
+def _read(cls, reader):
+    values = [getattr(reader, wire_name) for _, wire_name in _FIELDS[cls]]
+    return cls(*values)
+
+
+_LIST_FIELDS = {
+    cls: [item.name for item in fields(cls) if 'list' in str(item.type)]
+    for cls in MESSAGES.values()
+}
+
+
+def _materialise(value):
+    for name in _LIST_FIELDS[type(value)]:
+        items = list(getattr(value, name))
+        if isinstance(value, AppendRequest):
+            items = [_read(LogEntry, item) for item in items]
+        setattr(value, name, items)
+    return value
+
+
+def encode_frame(value, exchange=0):
+    """
+    Encode a message to a whole frame, length included.
+
+    :param value: an instance of a class in :data:`MESSAGES`.
+    :param exchange: id of the exchange it belongs to.
+    :return: bytes.
+    :raises TooLarge: above :data:`MAX_FRAME_BYTES`.
+    """
+    frame = _schema.Frame.new_message(exchange=exchange)
+    _write(frame.init(value.member), value)
+    data = frame.to_bytes()
+    if len(data) > MAX_FRAME_BYTES:
+        raise TooLarge(
+            f'a {value.member} frame of {len(data)} bytes',
+            f'split it to at most {MAX_FRAME_BYTES} bytes',
+        )
+    return _LENGTH.pack(len(data)) + data
+
+
+def frame_length(prefix):
+    """
+    Return the length that a four-byte prefix announces.
+
+    :raises TooLarge: above :data:`MAX_FRAME_BYTES`.
+    """
+    (length,) = _LENGTH.unpack(prefix)
+    if length > MAX_FRAME_BYTES:
+        raise TooLarge(
+            f'a frame of {length} bytes was announced',
+            'check that a damasklanding process is at the other end',
+        )
+    return length
+
+
+def decode_frame(data):
+    """
+    Decode a frame without its length prefix.
+
+    :return: pair of exchange id and message.
+    :raises BadInput: where the bytes hold no known message.
+    """
+    try:
+        with _schema.Frame.from_bytes(data) as frame:
+            member = frame.which()
+            cls = MESSAGES.get(str(member))
+            if cls is None:
+                raise BadInput(
+                    f'a frame of unknown kind {member}',
+                    'run the same release on all hosts',
+                )
+            value = _read(cls, getattr(frame, str(member)))
+            return frame.exchange, _materialise(value)
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise BadInput(
+            f'a frame that does not decode ({type(error).__name__})',
+            'check that a damasklanding process is at the other end',
+        ) from error
--- /dev/null
+++ b/tests/test_link.py
@@ -0,0 +1,108 @@
+from collections import Counter
+
+import gevent
+import pytest
+
+from damasklanding.errors import Forbidden
+from damasklanding.errors import LinkClosed
+from damasklanding.errors import NotFound
+from damasklanding.link import Identity
+from damasklanding.link import LinkServer
+from damasklanding.link import open_link
+from damasklanding.wire import BodyChunk
+from damasklanding.wire import Propose
+from damasklanding.wire import ProposeReply
+from damasklanding.wire import StatusRequest
+
+NODE = Identity('node-a', 'node', 'i1')
+HOST = Identity('host-a', 'control', 'i2')
+SECRET = b'0123456789abcdef'
+
+
+def serve(handlers):
+    server = LinkServer('127.0.0.1:0', HOST, SECRET, handlers)
+    server.start()
+    return server
+
+
+def echo(_exchange, message):
+    return ProposeReply(message.payload)
+
+
+def test_request_gets_its_own_reply_under_concurrency():
+    def slow_echo(_exchange, message):
+        gevent.sleep(0.02 if message.payload < b'5' else 0)
+        return ProposeReply(message.payload)
+
+    server = serve({Propose: slow_echo})
+    link = open_link(server.address, NODE, SECRET)
+    assert link.peer == HOST
+    payloads = [b'%d' % number for number in range(10)]
+    jobs = [
+        gevent.spawn(link.request, Propose('g', payload), 2_000)
+        for payload in payloads
+    ]
+    gevent.joinall(jobs, timeout=5)
+    assert [job.value.outcome for job in jobs] == payloads
+    server.stop()
+
+
+def test_wrong_secret_is_refused_on_both_sides():
+    server = serve({Propose: echo})
+    with pytest.raises((Forbidden, LinkClosed)):
+        open_link(server.address, NODE, b'another secret, too')
+    server.stop()
+
+
+def test_handler_error_reaches_the_caller_with_its_code():
+    def fail(_exchange, _message):
+        raise NotFound('no such thing')
+
+    server = serve({StatusRequest: fail})
+    link = open_link(server.address, NODE, SECRET)
+    with pytest.raises(NotFound):
+        link.request(StatusRequest('g'), 2_000)
+    server.stop()
+
+
+def test_cancel_stops_the_handler():
+    seen = Counter()
+
+    def wait(_exchange, _message):
+        seen['started'] += 1
+        try:
+            gevent.sleep(60)
+        finally:
+            seen['ended'] += 1
+
+    server = serve({Propose: wait})
+    link = open_link(server.address, NODE, SECRET)
+    with link.exchange(Propose('g', b'')) as exchange:
+        gevent.sleep(0.05)
+        exchange.cancel()
+    gevent.sleep(0.05)
+    assert seen == {'started': 1, 'ended': 1}
+    server.stop()
+
+
+def test_frame_of_unknown_exchange_is_counted_and_dropped():
+    server = serve({Propose: echo})
+    link = open_link(server.address, NODE, SECRET)
+    link.send(BodyChunk(b'stray'), 77)
+    assert link.request(Propose('g', b'x'), 2_000).outcome == b'x'
+    (accepted,) = server.links
+    assert accepted.dropped_frames == 1
+    server.stop()
+
+
+def test_closed_link_ends_open_exchanges():
+    def never(_exchange, _message):
+        gevent.sleep(60)
+
+    server = serve({Propose: never})
+    link = open_link(server.address, NODE, SECRET)
+    job = gevent.spawn(link.request, Propose('g', b''), 5_000)
+    gevent.sleep(0.05)
+    server.stop()
+    job.join(2)
+    assert isinstance(job.exception, LinkClosed)
