Serve and follow the configuration by revision

Cause: nodes need the configuration, in order, with a proof that it is current, also when the control hosts can't be reached. Conclusion: views move forward only and freshness is proved by the asker's own clock.

--- /dev/null
+++ b/damasklanding/control/watch.py
@@ -0,0 +1,225 @@
+"""
+damasklanding.control.watch
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Serves the configuration to watchers: a snapshot, then deltas, with a proof
+of freshness on every heartbeat.  A control host serves nodes; a node serves
+other nodes in the same way where they have lost the control hosts.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+
+import msgspec
+
+from damasklanding.fleet.resources import Change
+from damasklanding.fleet.resources import encode_changes
+from damasklanding.wire import NO_PROOF_AGE_MS
+from damasklanding.wire import Beat
+from damasklanding.wire import BeatReply
+from damasklanding.wire import Watch
+from damasklanding.wire import WatchDelta
+from damasklanding.wire import WatchSnapshot
+
+__all__ = ['Watcher', 'WatcherStatus', 'WatchServer']
+
+KEPT_DELTAS = 4_096
+WATCHER_SILENCE_MS = 5_000
+
+
+@dataclass
+class Watcher:
+    """
+    One connected watcher.
+
+    :ivar revision: position up to which changes have been sent.
+    :ivar confirmed_revision: position that the watcher has reported.
+    :ivar services: services whose backend servers it wants.
+    """
+
+    name: str
+    instance: str
+    exchange: object
+    revision: int
+    all_services: bool
+    services: set = field(default_factory=set)
+    confirmed_revision: int = 0
+    heard_ms: float = 0.0
+
+    def wants(self, kind, resource):
+        """Return whether a resource is within the watcher's interest."""
+        if kind != 'backend' or self.all_services:
+            return True
+        return resource.service in self.services
+
+
+class WatcherStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    What a control host knows of a watcher.
+
+    :ivar revision: in force there.
+    :ivar silent_ms: time since its last heartbeat.
+    """
+
+    name: str
+    instance: str
+    revision: int
+    silent_ms: int
+
+
+@dataclass(frozen=True)
+class _Delta:
+    term: int
+    revision: int
+    changes: list
+
+
+class _Wake:
+    """Tells a watcher's greenlet that there are further changes."""
+
+
+_WAKE = _Wake()
+
+
+def _ignore(*_args):
+    return None
+
+
+class WatchServer:
+    """
+    Sends the changes of a view to its watchers.
+
+    :param view: :class:`damasklanding.node.view.FleetView`.
+    :param on_beat: called with name, instance and status bytes.
+    """
+
+    def __init__(self, view, on_beat=_ignore):
+        self._view = view
+        self._on_beat = on_beat
+        self._watchers = {}
+        self._deltas = deque(maxlen=KEPT_DELTAS)
+        self._first_revision = view.state.revision
+        view.subscribe(self._keep)
+
+    def handlers(self):
+        """Return the link handlers by message class."""
+        return {Watch: self.serve}
+
+    def watchers(self):
+        """Return a list of :class:`WatcherStatus`."""
+        now_ms = self._view.now_ms()
+        return [
+            WatcherStatus(
+                name=watcher.name,
+                instance=watcher.instance,
+                revision=watcher.confirmed_revision,
+                silent_ms=int(now_ms - watcher.heard_ms),
+            )
+            for watcher in self._watchers.values()
+        ]
+
+    def serve(self, exchange, message):
+        """Serve one watcher until it leaves."""
+        watcher = Watcher(
+            message.name,
+            message.instance,
+            exchange,
+            message.revision,
+            message.all_services,
+            set(message.services),
+            message.revision,
+            self._view.now_ms(),
+        )
+        self._watchers[id(exchange)] = watcher
+        try:
+            self._start(watcher)
+            while True:
+                received = exchange.receive(WATCHER_SILENCE_MS)
+                self._send_deltas(watcher)
+                if type(received) is Beat:
+                    self._answer_beat(watcher, received)
+        finally:
+            self._watchers.pop(id(exchange), None)
+
+    def _keep(self, changes):
+        state = self._view.state
+        last = self._deltas[-1].revision if self._deltas else None
+        if state.revision == last or not changes:
+            return
+        if len(self._deltas) == KEPT_DELTAS:
+            self._first_revision = self._deltas[0].revision
+        self._deltas.append(_Delta(state.term, state.revision, changes))
+        for watcher in self._watchers.values():
+            watcher.exchange.deliver(_WAKE)
+
+    def _start(self, watcher):
+        if watcher.revision and watcher.revision >= self._first_revision:
+            self._send_deltas(watcher)
+        elif self._view.state.revision > watcher.revision:
+            self._send_snapshot(watcher)
+
+    def _send_snapshot(self, watcher):
+        state = self._view.state
+        changes = state.snapshot(watcher.wants)
+        watcher.revision = state.revision
+        watcher.exchange.send(
+            WatchSnapshot(state.term, state.revision, encode_changes(changes))
+        )
+
+    def _send_deltas(self, watcher):
+        pending = []
+        for delta in reversed(self._deltas):
+            if delta.revision <= watcher.revision:
+                break
+            pending.append(delta)
+        for delta in reversed(pending):
+            watcher.revision = delta.revision
+            watcher.exchange.send(
+                WatchDelta(
+                    delta.term,
+                    delta.revision,
+                    encode_changes(_narrow(delta.changes, watcher)),
+                )
+            )
+
+    def _answer_beat(self, watcher, beat):
+        watcher.heard_ms = self._view.now_ms()
+        watcher.confirmed_revision = beat.revision
+        self._on_beat(watcher.name, watcher.instance, beat.status)
+        for service in beat.services:
+            self._extend(watcher, service)
+        state = self._view.state
+        watcher.exchange.send(
+            BeatReply(
+                beat.seq,
+                state.term,
+                state.revision,
+                int(min(self._view.age_ms(), NO_PROOF_AGE_MS)),
+            )
+        )
+
+    def _extend(self, watcher, service):
+        watcher.services.add(service)
+        state = self._view.state
+        changes = [
+            Change.put('backend', backend)
+            for backend in self._view.backends(service)
+        ]
+        watcher.exchange.send(
+            WatchSnapshot(
+                state.term, state.revision, encode_changes(changes), service
+            )
+        )
+
+
+def _narrow(changes, watcher):
+    narrowed = []
+    for change in changes:
+        if change.kind == 'backend' and not watcher.all_services:
+            resource = change.resource()
+            if resource is not None and not watcher.wants('backend', resource):
+                # It may have left a service that the watcher does want.
+                change = Change('backend', change.name)
+        narrowed.append(change)
+    return narrowed
--- a/damasklanding/fleet/resources.py
+++ b/damasklanding/fleet/resources.py
@@ -206,12 +206,12 @@
 
     kind: str
     name: str
-    value: msgspec.Raw | None = None
+    value: bytes | None = None
 
     @classmethod
     def put(cls, kind, resource):
         """Return the change that writes a resource."""
-        return cls(kind, resource.name, msgspec.Raw(_encode(resource)))
+        return cls(kind, resource.name, _encode(resource))
 
     def resource(self):
         """Return the decoded resource, None where it was removed."""
--- /dev/null
+++ b/damasklanding/node/watch.py
@@ -0,0 +1,214 @@
+"""
+damasklanding.node.watch
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Keeps a node's view current.  One greenlet follows one source at a time: a
+control host or, while none answers, another node.
+"""
+
+import gevent
+from gevent.event import Event
+
+from damasklanding.errors import DamasklandingError
+from damasklanding.errors import LinkClosed
+from damasklanding.errors import LinkTimeout
+from damasklanding.fleet.resources import decode_changes
+from damasklanding.wire import NO_PROOF_AGE_MS
+from damasklanding.wire import Beat
+from damasklanding.wire import BeatReply
+from damasklanding.wire import Watch
+from damasklanding.wire import WatchDelta
+from damasklanding.wire import WatchSnapshot
+
+__all__ = ['WatchClient']
+
+BEAT_MS = 300
+REPLY_LIMIT_MS = 1_500  # a source that answers no beat for longer is left
+STALE_SOURCE_MS = 1_500  # a source whose proof is older is left
+RELAY_TURN_MS = 3_000  # a relay is left for a control host after this
+RETRY_MS = 100
+WANT_TIMEOUT_MS = 1_000
+
+
+class WatchClient:
+    """
+    Follows the configuration and proves it fresh.
+
+    :param view: :class:`damasklanding.node.view.FleetView`.
+    :param pool: :class:`damasklanding.links.LinkPool`.
+    :param identity: own identity.
+    :param control_addresses: peer addresses of the control hosts.
+    :param random: ``random.Random``, spreads the nodes over the sources.
+    :param take_status: returns the bytes that each heartbeat carries.
+    :param all_services: whether to learn of every backend server at once.
+    """
+
+    def __init__(
+        self,
+        view,
+        pool,
+        identity,
+        control_addresses,
+        random,
+        take_status=bytes,
+        all_services=False,
+    ):
+        self._view = view
+        self._pool = pool
+        self._identity = identity
+        self._control_addresses = list(control_addresses)
+        random.shuffle(self._control_addresses)
+        self._random = random
+        self._take_status = take_status
+        self._all_services = all_services
+        self._services = {}
+        self._exchange = None
+        self._greenlet = None
+        self._seq = 0
+        self._sent_ms = {}
+        self.source = ''
+
+    def start(self):
+        """Start to follow a source."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self):
+        """Stop following."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def want(self, service, timeout_ms=WANT_TIMEOUT_MS):
+        """Learn of a service's backend servers, and wait until known."""
+        if self._all_services:
+            return
+        known = self._services.get(service)
+        if known is None:
+            known = self._services[service] = Event()
+            self._beat([service])
+        if not known.is_set():
+            known.wait(timeout_ms / 1000)
+
+    def sources(self):
+        """Return addresses to try: control hosts, then other nodes."""
+        relays = [
+            backend.peer_address
+            for backend in self._view.state.all('backend').values()
+            if backend.name != self._identity.name
+        ]
+        relays += [
+            shard.peer_address
+            for shard in self._view.state.all('budget_shard').values()
+            if shard.owner and shard.owner != self._identity.name
+        ]
+        relays = sorted(set(relays))
+        self._random.shuffle(relays)
+        learned = [
+            host.peer_address
+            for host in self._view.state.all('control_host').values()
+            if host.peer_address not in self._control_addresses
+        ]
+        return self._control_addresses + learned + relays[:3]
+
+    def _run(self):
+        while True:
+            for address in self.sources():
+                try:
+                    self._follow(address)
+                except DamasklandingError:
+                    self._exchange = None
+                    self.source = ''
+                gevent.sleep(RETRY_MS / 1000 * self._random.uniform(0.5, 1))
+
+    def _is_control(self, link):
+        return link.peer.role == 'control'
+
+    def _follow(self, address):
+        link = self._pool.get(address)
+        state = self._view.state
+        message = Watch(
+            self._identity.name,
+            self._identity.instance,
+            state.term,
+            state.revision,
+            list(self._services),
+            self._all_services,
+        )
+        self._sent_ms.clear()
+        with link.exchange(message) as exchange:
+            self._exchange = exchange
+            self.source = link.peer.name
+            self._follow_exchange(exchange, self._is_control(link))
+
+    def _follow_exchange(self, exchange, is_control):
+        now_ms = self._view.now_ms
+        started_ms = answered_ms = now_ms()
+        due_ms = 0.0
+        while True:
+            now = now_ms()
+            if now >= due_ms:
+                self._beat([])
+                due_ms = now + BEAT_MS
+            if now - answered_ms > REPLY_LIMIT_MS:
+                raise LinkTimeout(f'{self.source} answers no heartbeat')
+            if not is_control and now - started_ms > RELAY_TURN_MS:
+                raise LinkClosed('the turn of a relay is over')
+            try:
+                message = exchange.receive(due_ms - now)
+            except LinkTimeout:
+                continue
+            if type(message) is BeatReply:
+                answered_ms = now_ms()
+            self._take(message)
+
+    def _beat(self, services):
+        exchange = self._exchange
+        if exchange is None:
+            return
+        self._seq += 1
+        self._sent_ms[self._seq] = self._view.now_ms()
+        try:
+            exchange.send(
+                Beat(
+                    self._seq,
+                    self._view.state.revision,
+                    services,
+                    self._take_status(),
+                )
+            )
+        except LinkClosed:
+            exchange.deliver(None)
+
+    def _take(self, message):
+        kind = type(message)
+        if kind is BeatReply:
+            self._take_reply(message)
+        elif kind is WatchDelta:
+            changes = decode_changes(message.changes)
+            self._view.apply(message.term, message.revision, changes)
+        elif kind is WatchSnapshot:
+            self._take_snapshot(message)
+
+    def _take_snapshot(self, message):
+        changes = decode_changes(message.changes)
+        if not message.service:
+            self._view.replace(message.term, message.revision, changes)
+            for known in self._services.values():
+                known.set()
+            return
+        if message.revision >= self._view.state.revision:
+            self._view.merge(changes)
+        known = self._services.get(message.service)
+        if known is not None:
+            known.set()
+
+    def _take_reply(self, message):
+        sent_ms = self._sent_ms.pop(message.seq, None)
+        if sent_ms is None:
+            return
+        proved = message.age_ms < NO_PROOF_AGE_MS
+        # The sender's view may be behind ours; ours then holds at least
+        # what was current at that time.
+        if proved and self._view.state.revision >= message.revision:
+            self._view.confirm(sent_ms - message.age_ms)
+        if message.age_ms > STALE_SOURCE_MS:
+            raise LinkTimeout(f'{self.source} has no fresh state')
--- a/damasklanding/wire.py
+++ b/damasklanding/wire.py
@@ -20,12 +20,14 @@
 __all__ = [
     'MAX_FRAME_BYTES',
     'MESSAGES',
+    'NO_PROOF_AGE_MS',
     'decode_frame',
     'encode_frame',
     'frame_length',
 ]
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
+NO_PROOF_AGE_MS = 0xFFFFFFFF  # stands for a source without any proof
 PROTOCOL_VERSION = 1
 
 _LENGTH = struct.Struct('<I')
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,168 @@
+import random
+
+import gevent
+
+from damasklanding.control.watch import WatchServer
+from damasklanding.fleet.resources import Backend
+from damasklanding.fleet.resources import Change
+from damasklanding.fleet.resources import DataCentre
+from damasklanding.link import Identity
+from damasklanding.link import LinkServer
+from damasklanding.links import LinkPool
+from damasklanding.node.view import FleetView
+from damasklanding.node.watch import WatchClient
+
+SECRET = b'0123456789abcdef'
+NODE = Identity('node-a', 'node', 'i1')
+
+
+def backend(name, service):
+    return Backend(
+        name=name,
+        instance='i',
+        data_centre='dc',
+        peer_address='127.0.0.1:9',
+        service=service,
+    )
+
+
+def put_centre(name, out=False):
+    return Change.put('data_centre', DataCentre(name=name, out=out))
+
+
+class Source:
+    def __init__(self, name='host-a', role='control', view=None):
+        self.view = view or FleetView()
+        self.beats = []
+        self.watch = WatchServer(self.view, lambda *a: self.beats.append(a))
+        self.server = LinkServer(
+            '127.0.0.1:0',
+            Identity(name, role, 'i'),
+            SECRET,
+            self.watch.handlers(),
+        )
+        self.server.start()
+
+    @property
+    def address(self):
+        return self.server.address
+
+    def fresh(self):
+        self.view.confirm(self.view.now_ms())
+
+
+def follow(*addresses, view=None, **options):
+    view = view or FleetView()
+    pool = LinkPool(NODE, SECRET)
+    client = WatchClient(
+        view, pool, NODE, addresses, random.Random(1), **options
+    )
+    client.start()
+    return client, view
+
+
+def wait_for(condition, timeout_s=5):
+    with gevent.Timeout(timeout_s):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+def test_snapshot_then_deltas_then_freshness():
+    source = Source()
+    source.view.apply(1, 5, [put_centre('dc-a')])
+    source.fresh()
+    client, view = follow(source.address)
+    wait_for(lambda: view.state.position() == (1, 5))
+    source.view.apply(1, 6, [put_centre('dc-b', out=True)])
+    wait_for(lambda: view.data_centre_out('dc-b'))
+    wait_for(lambda: view.age_ms() < 5_000)
+    wait_for(lambda: [w.revision for w in source.watch.watchers()] == [6])
+    assert source.beats
+    assert source.beats[0][:2] == ('node-a', 'i1')
+    client.stop()
+    source.server.stop()
+
+
+def test_source_without_proof_gives_no_freshness():
+    source = Source()
+    source.view.apply(1, 5, [put_centre('dc-a')])
+    client, view = follow(source.address)
+    wait_for(lambda: view.state.revision == 5)
+    gevent.sleep(0.5)
+    assert view.age_ms() == float('inf')
+    client.stop()
+    source.server.stop()
+
+
+def test_source_that_is_behind_never_takes_the_view_back():
+    behind = Source()
+    behind.view.apply(1, 3, [put_centre('dc-a')])
+    behind.fresh()
+    view = FleetView()
+    view.apply(2, 9, [put_centre('dc-a', out=True)])
+    client, view = follow(behind.address, view=view)
+    wait_for(lambda: behind.beats)
+    behind.view.apply(1, 4, [put_centre('dc-a')])
+    gevent.sleep(0.4)
+    assert view.state.position() == (2, 9)
+    assert view.data_centre_out('dc-a')
+    client.stop()
+    behind.server.stop()
+
+
+def test_only_wanted_services_are_sent_and_moves_are_noticed():
+    source = Source()
+    source.view.apply(
+        1,
+        2,
+        [
+            Change.put('backend', backend('n1', 'orders')),
+            Change.put('backend', backend('n2', 'stock')),
+        ],
+    )
+    source.fresh()
+    client, view = follow(source.address)
+    wait_for(lambda: view.state.revision == 2)
+    assert not view.backends('orders')
+    client.want('orders')
+    assert [item.name for item in view.backends('orders')] == ['n1']
+    source.view.apply(1, 3, [Change.put('backend', backend('n1', 'stock'))])
+    wait_for(lambda: view.state.revision == 3)
+    assert not view.backends('orders')
+    assert not view.backends('stock')
+    client.stop()
+    source.server.stop()
+
+
+def test_node_relays_state_and_freshness_when_control_is_gone():
+    source = Source()
+    source.view.apply(1, 2, [put_centre('dc-a')])
+    source.fresh()
+    relay_client, relay_view = follow(source.address)
+    wait_for(lambda: relay_view.age_ms() < 5_000)
+    relay = Source('node-b', 'node', relay_view)
+    client, view = follow('127.0.0.1:1', relay.address)
+    wait_for(lambda: view.state.revision == 2)
+    wait_for(lambda: view.age_ms() < 5_000)
+    assert view.age_ms() >= relay_view.age_ms() - 5
+    for item in (client, relay_client):
+        item.stop()
+    source.server.stop()
+    relay.server.stop()
+
+
+def test_follower_moves_on_when_its_source_dies():
+    first, second = Source('host-a'), Source('host-b')
+    for source in (first, second):
+        source.view.apply(1, 2, [put_centre('dc-a')])
+        source.fresh()
+    client, view = follow(first.address, second.address)
+    wait_for(lambda: client.source)
+    used, other = (
+        (first, second) if client.source == 'host-a' else (second, first)
+    )
+    used.server.stop()
+    other.view.apply(1, 3, [put_centre('dc-b')])
+    wait_for(lambda: view.state.revision == 3)
+    client.stop()
+    other.server.stop()
