--- /dev/null
+++ b/damasklanding/policy/gate.py
@@ -0,0 +1,240 @@
+"""
+damasklanding.policy.gate
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Admission to the backend server beside a node: a call gets a slot, waits for
+one, or is refused before it was handed over.
+"""
+
+from contextlib import contextmanager
+
+from gevent.event import Event
+
+from damasklanding.clock import monotonic_ms
+from damasklanding.errors import DeadlineExceeded
+from damasklanding.errors import Draining
+from damasklanding.errors import Overloaded
+from damasklanding.policy.limiter import Limiter
+from damasklanding.policy.queue import WaitQueue
+from damasklanding.policy.work import LoadReport
+from damasklanding.policy.work import Result
+
+__all__ = ['Gate', 'Slot', 'build_gate']
+
+DRAINING_RETRY_AFTER_MS = 100
+MIN_RETRY_AFTER_MS = 50
+MAX_RETRY_AFTER_MS = 5_000
+SMOOTHING = 0.1
+
+
+class Slot:
+    """
+    The right to run one call at the backend server.
+
+    :ivar waited_ms: time spent in the queue.
+    """
+
+    def __init__(self, call, now_ms, waited_ms):
+        self.call = call
+        self.waited_ms = waited_ms
+        self.result = Result.CANCELLED
+        self.service_time_ms = None
+        self._now_ms = now_ms
+        self._onward = 0
+        self._onward_since_ms = 0.0
+        self._onward_ms = 0.0
+
+    def finish(self, result, service_time_ms=None):
+        """
+        Say what the call showed about the backend server.
+
+        :param result: :class:`~damasklanding.policy.work.Result`.
+        :param service_time_ms: measured by the gate unless given.
+        """
+        self.result = result
+        if service_time_ms is None:
+            service_time_ms = self._now_ms() - self.call.started_ms
+        self.service_time_ms = service_time_ms
+
+    @contextmanager
+    def onward(self):
+        """Mark the time of an onward call, which is not held against it."""
+        now_ms = self._now_ms()
+        if not self._onward:
+            self._onward_since_ms = now_ms
+        self._onward += 1
+        try:
+            yield
+        finally:
+            self._onward -= 1
+            if not self._onward:
+                self._onward_ms += self._now_ms() - self._onward_since_ms
+
+    def own_time_ms(self):
+        """Return the service time without that of onward calls."""
+        if self.service_time_ms is None:
+            return 0.0
+        return max(0.0, self.service_time_ms - self._onward_ms)
+
+
+class Gate:
+    """
+    Admission to one backend server.
+
+    :param service: name of its service.
+    :param limiter: :class:`~damasklanding.policy.limiter.Limiter`.
+    :param queue: :class:`~damasklanding.policy.queue.WaitQueue`.
+    :param now_ms: clock that both also use.
+    """
+
+    def __init__(self, service, limiter, queue, now_ms=monotonic_ms):
+        self.service = service
+        self.limiter = limiter
+        self.queue = queue
+        self.draining = False
+        self._now_ms = now_ms
+        self._service_time_ms = 0.0
+
+    @contextmanager
+    def admit(self, work):
+        """
+        Hold a slot for the length of the block.
+
+        A slot that was not finished counts as cancelled.
+
+        :param work: :class:`~damasklanding.policy.work.Work`.
+        :return: context manager that yields a :class:`Slot`.
+        :raises Draining: no new work is taken.
+        :raises Overloaded: no slot came free within the longest wait.
+        :raises DeadlineExceeded: the call could not finish in time.
+        """
+        arrived_ms = self._now_ms()
+        call = self._enter(work, arrived_ms)
+        slot = Slot(call, self._now_ms, self._now_ms() - arrived_ms)
+        try:
+            yield slot
+        finally:
+            self._leave(slot)
+
+    def load(self):
+        """Return the :class:`~damasklanding.policy.work.LoadReport`."""
+        return LoadReport(
+            service=self.service,
+            limit=self.limiter.limit,
+            running=self.limiter.running,
+            queued=len(self.queue),
+            service_time_ms=self._service_time_ms,
+            wait_ms=self.expected_wait_ms(),
+            cold=self.limiter.cold,
+            draining=self.draining,
+        )
+
+    def expected_wait_ms(self):
+        """Return the wait that a call of the least importance would see."""
+        if self.limiter.has_room() and not len(self.queue):
+            return 0.0
+        ahead = len(self.queue) + 1
+        return ahead * self._service_time_ms / self.limiter.limit
+
+    def announce(self, cold, slots=0):
+        """Note an announcement of the backend server."""
+        self.limiter.announce(cold, slots)
+
+    def drain(self):
+        """Refuse new work; calls that wait or run go on."""
+        self.draining = True
+
+    def resume(self):
+        """Take new work again."""
+        self.draining = False
+
+    def _enter(self, work, arrived_ms):
+        if self.draining:
+            raise Draining(
+                f'the node beside {self.service} takes no new work',
+                retry_after_ms=DRAINING_RETRY_AFTER_MS,
+            )
+        if arrived_ms >= work.deadline_at_ms:
+            raise self._late()
+        if self.limiter.has_room() and not len(self.queue):
+            return self.limiter.begin(work.profile)
+        return self._wait(work, arrived_ms)
+
+    def _wait(self, work, arrived_ms):
+        latest_start_ms = work.deadline_at_ms - self._service_time_ms
+        leave_at_ms = min(latest_start_ms, arrived_ms + work.longest_wait_ms)
+        if leave_at_ms <= arrived_ms:
+            raise self._refusal(work, leave_at_ms < latest_start_ms)
+        waiter = _Waiter()
+        ticket = self.queue.offer(work, leave_at_ms, waiter)
+        if ticket is None:
+            raise self._overloaded()
+        try:
+            waiter.event.wait((leave_at_ms - arrived_ms) / 1000.0)
+        except BaseException:
+            self._abandon(ticket, waiter)
+            raise
+        if waiter.call is not None:
+            return waiter.call
+        self.queue.remove(ticket)
+        raise self._refusal(work, leave_at_ms < latest_start_ms)
+
+    def _abandon(self, ticket, waiter):
+        self.queue.remove(ticket)
+        if waiter.call is not None:
+            self.limiter.end(waiter.call, Result.CANCELLED, 0.0)
+            self._dispatch()
+
+    def _leave(self, slot):
+        time_ms = slot.service_time_ms
+        if slot.result is Result.OK and time_ms is not None:
+            self._smooth(time_ms)
+        self.limiter.end(slot.call, slot.result, slot.own_time_ms())
+        self._dispatch()
+
+    def _smooth(self, time_ms):
+        if not self._service_time_ms:
+            self._service_time_ms = time_ms
+        self._service_time_ms += SMOOTHING * (time_ms - self._service_time_ms)
+
+    def _dispatch(self):
+        while len(self.queue) and self.limiter.has_room():
+            ticket = self.queue.take()
+            waiter = ticket.context
+            waiter.call = self.limiter.begin(ticket.work.profile)
+            waiter.event.set()
+
+    def _refusal(self, work, waited_long):
+        if waited_long:
+            return self._overloaded()
+        return self._late()
+
+    def _overloaded(self):
+        return Overloaded(
+            f'no free slot at {self.service} within the longest wait',
+            retry_after_ms=self.retry_after_ms(),
+        )
+
+    def _late(self):
+        return DeadlineExceeded(
+            f'too little time left for a call of {self.service}',
+            retry_after_ms=self.retry_after_ms(),
+        )
+
+    def retry_after_ms(self):
+        """Return the delay to ask of a refused caller."""
+        wait_ms = int(self.expected_wait_ms())
+        return max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms))
+
+
+class _Waiter:
+    """A greenlet in the queue, and the call once it has a slot."""
+
+    def __init__(self):
+        self.event = Event()
+        self.call = None
+
+
+def build_gate(service, now_ms=monotonic_ms):
+    """Return a :class:`Gate` with its own limiter and queue."""
+    return Gate(service, Limiter(now_ms), WaitQueue(now_ms), now_ms)
--- /dev/null
+++ b/damasklanding/policy/retry.py
@@ -0,0 +1,163 @@
+"""
+damasklanding.policy.retry
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Whether and when a failed attempt is tried again.  Retries are bounded three
+ways: by an allowance that travels with the request, by a budget per node and
+by the answer's own word that a retry elsewhere would not help.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = [
+    'Attempt',
+    'Outcome',
+    'RetryBudget',
+    'Verdict',
+    'backoff_ms',
+    'may_retry',
+]
+
+BASE_BACKOFF_MS = 10
+MAX_BACKOFF_MS = 1_000
+MAX_REROUTES = 2  # attempts after refusals that cost no backend server
+
+
+class Outcome(Enum):
+    """Whether an attempt reached its backend server."""
+
+    RAN = 'ran'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+class Verdict(Enum):
+    """What to do after a failed attempt; all but RETRY name the reason."""
+
+    RETRY = 'retry'
+    ANSWERED = 'answered'
+    NOT_IDEMPOTENT = 'not-idempotent'
+    NO_ALLOWANCE = 'no-allowance'
+    NO_BUDGET = 'no-budget'
+    NO_TIME = 'no-time'
+    TOLD_NOT_TO = 'told-not-to'
+
+
+@dataclass(slots=True)
+class Attempt:
+    """
+    A failed attempt, as seen by the node that made it.
+
+    :ivar outcome: :class:`Outcome`.
+    :ivar idempotent: whether the request may run more than once.
+    :ivar retries_left: allowance of the whole chain after this attempt.
+    :ivar may_retry: the answer's word; false stops all nodes above too.
+    :ivar deadline_left_ms: time left now.
+    :ivar expected_ms: usual time of an attempt.
+    :ivar refused_free: a proven ``not-run`` that only names another node,
+        such as a draining one or a connection that could not be opened.
+    :ivar reroutes: attempts already made after such refusals.
+    """
+
+    outcome: Outcome
+    idempotent: bool
+    retries_left: int
+    may_retry: bool = True
+    deadline_left_ms: float = float('inf')
+    expected_ms: float = 0.0
+    refused_free: bool = False
+    reroutes: int = 0
+
+
+class RetryBudget:
+    """
+    A node's bound on retries as a share of its calls.
+
+    A small reserve lets a node retry before it has made many calls; it is
+    earned back before the budget grows, so that after any number of calls
+    the retries spent are at most ``max(reserve, ratio * calls)``.
+
+    :param ratio: retries per call.
+    :param reserve: retries available at the start.
+    :param ceiling: most that can be saved up.
+    """
+
+    def __init__(self, ratio=0.1, reserve=2, ceiling=20):
+        self.ratio = ratio
+        self.ceiling = ceiling
+        self._tokens = float(reserve)
+        self._owed = float(reserve)
+
+    @property
+    def tokens(self):
+        """Return the retries that could be spent now; never negative."""
+        return self._tokens
+
+    def note_call(self):
+        """Count a first attempt, which earns a part of a retry."""
+        if self._owed > 0:
+            self._owed -= self.ratio
+            return
+        self._tokens = min(self.ceiling, self._tokens + self.ratio)
+
+    def try_spend(self):
+        """Take one retry; return whether there was one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def _answered(attempt):
+    return attempt.outcome is Outcome.RAN and not attempt.may_retry
+
+
+def _may_repeat(attempt):
+    return attempt.idempotent or attempt.outcome is Outcome.NOT_RUN
+
+
+#: Checks that need no budget, in order.
+_CHECKS = (
+    (Verdict.ANSWERED, _answered),
+    (Verdict.NOT_IDEMPOTENT, lambda attempt: not _may_repeat(attempt)),
+    (Verdict.TOLD_NOT_TO, lambda attempt: not attempt.may_retry),
+    (
+        Verdict.NO_TIME,
+        lambda attempt: attempt.deadline_left_ms <= attempt.expected_ms,
+    ),
+)
+
+
+def may_retry(attempt, budget):
+    """
+    Decide about a failed attempt and spend the budget where it is retried.
+
+    :param attempt: :class:`Attempt`.
+    :param budget: :class:`RetryBudget` of this node.
+    :return: :class:`Verdict`.
+    """
+    for verdict, applies in _CHECKS:
+        if applies(attempt):
+            return verdict
+    if attempt.refused_free and attempt.reroutes < MAX_REROUTES:
+        return Verdict.RETRY
+    if attempt.retries_left <= 0:
+        return Verdict.NO_ALLOWANCE
+    if not budget.try_spend():
+        return Verdict.NO_BUDGET
+    return Verdict.RETRY
+
+
+def backoff_ms(retry, random, retry_after_ms=0):
+    """
+    Return how long to wait before a retry, with full jitter.
+
+    :param retry: 0 for the first retry.
+    :param random: function that returns a float in [0, 1).
+    :param retry_after_ms: delay that the refusal asked for; never undercut.
+    """
+    ceiling = min(MAX_BACKOFF_MS, BASE_BACKOFF_MS * 2**retry)
+    if retry_after_ms:
+        return retry_after_ms + random() * ceiling
+    return random() * ceiling
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,95 @@
+from contextlib import ExitStack
+
+import gevent
+import pytest
+
+from damasklanding.clock import monotonic_ms
+from damasklanding.errors import DeadlineExceeded
+from damasklanding.errors import Draining
+from damasklanding.errors import Overloaded
+from damasklanding.policy.gate import build_gate
+from damasklanding.policy.work import Result
+from damasklanding.policy.work import Work
+
+
+def work(organisation='a', importance=1, wait_ms=200, left_ms=1_000):
+    return Work(organisation, importance, 1, monotonic_ms() + left_ms, wait_ms)
+
+
+def hold(gate, release, ended, **fields):
+    with gate.admit(work(**fields)) as slot:
+        release.wait()
+        slot.finish(Result.OK)
+    ended.append(fields)
+
+
+def test_slot_is_freed_and_passed_on():
+    gate = build_gate('s')
+    release, ended = gevent.event.Event(), []
+    greenlets = [
+        gevent.spawn(hold, gate, release, ended, organisation=name)
+        for name in 'abc'
+    ]
+    gevent.sleep(0.01)
+    assert gate.load().running == 1
+    assert gate.load().queued == 2
+    release.set()
+    gevent.joinall(greenlets, raise_error=True)
+    assert len(ended) == 3
+    assert (gate.load().running, gate.load().queued) == (0, 0)
+
+
+@pytest.mark.parametrize(
+    ('fields', 'error'),
+    [
+        ({'wait_ms': 20}, Overloaded),
+        ({'wait_ms': 0}, Overloaded),
+        ({'left_ms': 20}, DeadlineExceeded),
+        ({'left_ms': -1}, DeadlineExceeded),
+    ],
+)
+def test_refusals_leave_nothing_behind(fields, error):
+    gate = build_gate('s')
+    with ExitStack() as stack:
+        stack.enter_context(gate.admit(work()))
+        with pytest.raises(error) as caught, gate.admit(work(**fields)):
+            pass
+        assert caught.value.retry_after_ms > 0
+        assert gate.load().queued == 0
+    assert gate.load().running == 0
+
+
+def test_draining_refuses_until_resumed():
+    gate = build_gate('s')
+    gate.drain()
+    with pytest.raises(Draining), gate.admit(work()):
+        pass
+    assert gate.load().draining
+    gate.resume()
+    with gate.admit(work()):
+        assert gate.load().running == 1
+
+
+def test_killed_waiter_leaves_the_queue():
+    gate = build_gate('s')
+    release, ended = gevent.event.Event(), []
+    first = gevent.spawn(hold, gate, release, ended)
+    second = gevent.spawn(hold, gate, release, ended)
+    gevent.sleep(0)
+    assert gate.load().queued == 1
+    second.kill()
+    assert gate.load().queued == 0
+    first.kill()
+    assert gate.load().running == 0
+
+
+def test_waiter_killed_after_its_slot_came_frees_it():
+    gate = build_gate('s')
+    release, ended = gevent.event.Event(), []
+    first = gevent.spawn(hold, gate, release, ended)
+    second = gevent.spawn(hold, gate, release, ended)
+    gevent.sleep(0)
+    first.kill()
+    assert gate.load().running == 1
+    second.kill()
+    assert gate.load().running == 0
