Check settings across flags and build the daemon's command line

Settings were checked one by one, so a role without its addresses, two listeners on one address, an even number of control hosts or a control host missing from its own list showed only at run time. Declarations move to options.py; settings.py checks them together, and daemon_command(run) turns them into click options with environment variables, help and exit status.

--- /dev/null
+++ b/damasklanding/options.py
@@ -0,0 +1,323 @@
+"""
+damasklanding.options
+~~~~~~~~~~~~~~~~~~~~~
+
+The flags and environment variables of the daemon: one declaration each,
+with the check of its text and the remedy for a wrong one.
+"""
+
+from dataclasses import dataclass
+import ipaddress
+import re
+
+__all__ = [
+    'ENVIRONMENT_PREFIX',
+    'OPTIONS',
+    'Option',
+    'SECRET_REMEDY',
+    'control_host_list',
+    'is_loopback',
+    'option_of',
+    'read_secret',
+    'split_address',
+]
+
+ENVIRONMENT_PREFIX = 'DAMASKLANDING_'
+MAX_PORT = 65_535
+MIN_SECRET_BYTES = 16
+NAME = re.compile(r'^[a-z0-9][a-z0-9._-]{0,62}$')
+
+
+@dataclass(frozen=True)
+class Option:
+    """
+    A flag, its environment variable and how its text is checked.
+
+    :ivar parse: turns the text into the value or raises ValueError.
+    :ivar metavar: what the help shows in place of the value.
+    :ivar switch: whether the flag may stand without a value.
+    """
+
+    field: str
+    help: str
+    parse: object
+    remedy: str
+    metavar: str = 'TEXT'
+    switch: bool = False
+
+    @property
+    def flag(self):
+        """Return the flag, dashes included."""
+        return '--' + self.field.replace('_', '-')
+
+    @property
+    def variable(self):
+        """Return the name of the environment variable."""
+        return ENVIRONMENT_PREFIX + self.field.upper()
+
+
+def _name(text):
+    if not NAME.match(text):
+        raise ValueError('not a name')
+    return text
+
+
+def split_address(text):
+    """
+    Split ``ip:port`` to the IP number and the port.
+
+    :raises ValueError: where either is malformed.
+    """
+    host, _, port = text.rpartition(':')
+    if not port.isascii() or not port.isdigit():
+        raise ValueError('without a port')
+    if int(port) > MAX_PORT:
+        raise ValueError('not a port')
+    return str(ipaddress.ip_address(host.strip('[]'))), int(port)
+
+
+def is_loopback(text):
+    """Return whether only this host can reach an address."""
+    return ipaddress.ip_address(split_address(text)[0]).is_loopback
+
+
+def _address(text):
+    split_address(text)
+    return text
+
+
+def _roles(text):
+    roles = tuple(part.strip() for part in text.split(',') if part.strip())
+    if not roles or set(roles) - {'node', 'control'}:
+        raise ValueError('not a list of roles')
+    if len(set(roles)) != len(roles):
+        raise ValueError('a role stands twice')
+    return roles
+
+
+def control_host_list(text):
+    """Parse ``name=ip:port,...`` to a tuple of pairs."""
+    pairs = []
+    for part in text.split(','):
+        name, _, address = part.strip().partition('=')
+        pairs.append((_name(name), _address(address)))
+    if len({name for name, _ in pairs}) != len(pairs):
+        raise ValueError('a name stands twice')
+    return tuple(pairs)
+
+
+def _whole(low, high):
+    def parse(text):
+        value = int(text)
+        if not low <= value <= high:
+            raise ValueError(f'not within {low} to {high}')
+        return value
+
+    return parse
+
+
+def _level(text):
+    if text not in ('debug', 'info', 'warning', 'error'):
+        raise ValueError('not a level')
+    return text
+
+
+def _flag(text):
+    values = {'1': True, 'true': True, '0': False, 'false': False, '': False}
+    if text.lower() not in values:
+        raise ValueError('not true or false')
+    return values[text.lower()]
+
+
+def read_secret(path):
+    """Return the fleet secret from a file, without surrounding space."""
+    try:
+        with open(path, 'rb') as file:
+            secret = file.read().strip()
+    except OSError as error:
+        raise ValueError(error.strerror) from error
+    if len(secret) < MIN_SECRET_BYTES:
+        raise ValueError(f'shorter than {MIN_SECRET_BYTES} bytes')
+    return secret
+
+
+def _secret(text):
+    secret = text.encode()
+    if len(secret) < MIN_SECRET_BYTES:
+        raise ValueError(f'shorter than {MIN_SECRET_BYTES} bytes')
+    return secret
+
+
+_ADDRESS_REMEDY = 'give an IP number and a port, such as 127.0.0.1:7400'
+_NAME_REMEDY = 'use lower-case letters, digits, dots and dashes, 63 at most'
+SECRET_REMEDY = f'give at least {MIN_SECRET_BYTES} bytes'
+
+OPTIONS = (
+    Option(
+        'name',
+        'Name of this process in the fleet.',
+        _name,
+        _NAME_REMEDY,
+        'NAME',
+    ),
+    Option(
+        'roles',
+        'Roles of this process: node, control or node,control.',
+        _roles,
+        'give node, control or both, split by a comma',
+        'ROLES',
+    ),
+    Option(
+        'data_centre', 'Data centre of this host.', _name, _NAME_REMEDY, 'NAME'
+    ),
+    Option(
+        'peer_address',
+        'Listener for other processes of the fleet.',
+        _address,
+        _ADDRESS_REMEDY,
+        'IP:PORT',
+    ),
+    Option(
+        'secret',
+        'Fleet secret; prefer --secret-file.',
+        _secret,
+        SECRET_REMEDY,
+    ),
+    Option(
+        'secret_file',
+        'File with the fleet secret.',
+        read_secret,
+        'name a readable file with at least 16 bytes',
+        'FILE',
+    ),
+    Option(
+        'caller_address',
+        'Listener for callers (node).',
+        _address,
+        _ADDRESS_REMEDY,
+        'IP:PORT',
+    ),
+    Option(
+        'egress_address',
+        'Loopback listener for the backend server: announcements and '
+        'onward calls (node).',
+        _address,
+        _ADDRESS_REMEDY,
+        'IP:PORT',
+    ),
+    Option(
+        'backend_address',
+        'Where the backend server beside this node listens; empty for a '
+        'node without one.',
+        _address,
+        _ADDRESS_REMEDY,
+        'IP:PORT',
+    ),
+    Option(
+        'operations_address',
+        'Listener for metrics, health and status.',
+        _address,
+        _ADDRESS_REMEDY,
+        'IP:PORT',
+    ),
+    Option(
+        'control_hosts',
+        'All control hosts, as name=ip:port,name=ip:port.',
+        control_host_list,
+        'give pairs such as c1=127.0.0.1:7500, split by commas',
+        'PAIRS',
+    ),
+    Option(
+        'data_folder',
+        'Folder for durable state (control).',
+        str,
+        'name a folder on a local disk',
+        'FOLDER',
+    ),
+    Option(
+        'admin_address',
+        'Listener of the administration API (control).',
+        _address,
+        _ADDRESS_REMEDY,
+        'IP:PORT',
+    ),
+    Option(
+        'operator_tokens_file',
+        'File with one operator and token a line, split by a space (control).',
+        str,
+        'name a readable file',
+        'FILE',
+    ),
+    Option(
+        'bootstrap',
+        'Allow an empty data folder to found a new fleet (control).',
+        _flag,
+        'give true or false',
+        'BOOLEAN',
+        True,
+    ),
+    Option(
+        'fresh_limit_ms',
+        'Age of the configuration above which keyed routes are refused.',
+        _whole(500, 60_000),
+        'give 500 to 60000',
+        'MS',
+    ),
+    Option(
+        'drain_timeout_ms',
+        'Longest time that a planned stop waits for running requests.',
+        _whole(0, 600_000),
+        'give 0 to 600000',
+        'MS',
+    ),
+    Option(
+        'max_header_bytes',
+        'Largest header block of a request.',
+        _whole(1_024, 262_144),
+        'give 1024 to 262144',
+        'BYTES',
+    ),
+    Option(
+        'max_body_bytes',
+        'Largest body of a request.',
+        _whole(0, 1 << 40),
+        'give 0 to 1099511627776',
+        'BYTES',
+    ),
+    Option(
+        'header_timeout_ms',
+        'Longest time that a caller may take to send its headers.',
+        _whole(100, 600_000),
+        'give 100 to 600000',
+        'MS',
+    ),
+    Option(
+        'idle_timeout_ms',
+        'Longest time that a caller connection may stay idle.',
+        _whole(100, 3_600_000),
+        'give 100 to 3600000',
+        'MS',
+    ),
+    Option(
+        'log_level',
+        'Lowest level that is logged.',
+        _level,
+        'give debug, info, warning or error',
+        'LEVEL',
+    ),
+    Option(
+        'log_json',
+        'Log one JSON object a line.',
+        _flag,
+        'give true or false',
+        'BOOLEAN',
+        True,
+    ),
+)
+
+_OPTIONS_BY_FIELD = {option.field: option for option in OPTIONS}
+
+
+def option_of(field):
+    """Return the option of a settings field."""
+    return _OPTIONS_BY_FIELD[field]
--- a/damasklanding/settings.py
+++ b/damasklanding/settings.py
@@ -6,26 +6,33 @@
 variable; an error names the flag, the value and the remedy.
 """
 
-from dataclasses import dataclass
-import ipaddress
-import re
+from collections import Counter
+import os
 
 import msgspec
 
 from damasklanding.errors import BadSetting
+from damasklanding.errors import DamasklandingError
+from damasklanding.options import OPTIONS
+from damasklanding.options import SECRET_REMEDY
+from damasklanding.options import Option
+from damasklanding.options import control_host_list
+from damasklanding.options import is_loopback
+from damasklanding.options import option_of
+from damasklanding.options import read_secret
+from damasklanding.options import split_address
 
 __all__ = [
     'OPTIONS',
     'Option',
     'Settings',
     'control_host_list',
+    'daemon_command',
     'load_settings',
     'read_secret',
 ]
 
-ENVIRONMENT_PREFIX = 'DAMASKLANDING_'
-MIN_SECRET_BYTES = 16
-NAME = re.compile(r'^[a-z0-9][a-z0-9._-]{0,62}$')
+CONTROL_HOST_COUNTS = (1, 3, 5, 7, 9)
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -54,247 +61,24 @@
     log_level: str = 'info'
     log_json: bool = False
 
+    def __repr__(self):
+        return f'Settings(name={self.name!r}, roles={self.roles!r})'
 
-@dataclass(frozen=True)
-class Option:
-    """
-    A flag, its environment variable and how its text is checked.
-
-    :ivar parse: turns the text into the value or raises ValueError.
-    """
-
-    field: str
-    help: str
-    parse: object
-    remedy: str
-
-    @property
-    def flag(self):
-        """Return the flag, dashes included."""
-        return '--' + self.field.replace('_', '-')
-
-    @property
-    def variable(self):
-        """Return the name of the environment variable."""
-        return ENVIRONMENT_PREFIX + self.field.upper()
-
-
-def _name(text):
-    if not NAME.match(text):
-        raise ValueError('not a name')
-    return text
-
-
-def _address(text):
-    host, _, port = text.rpartition(':')
-    ipaddress.ip_address(host.strip('[]'))
-    if not 0 <= int(port) <= 65_535:
-        raise ValueError('not a port')
-    return text
-
-
-def _roles(text):
-    roles = tuple(part.strip() for part in text.split(',') if part.strip())
-    if not roles or set(roles) - {'node', 'control'}:
-        raise ValueError('not a list of roles')
-    return roles
-
-
-def control_host_list(text):
-    """Parse ``name=ip:port,...`` to a tuple of pairs."""
-    pairs = []
-    for part in text.split(','):
-        name, _, address = part.strip().partition('=')
-        pairs.append((_name(name), _address(address)))
-    if len({name for name, _ in pairs}) != len(pairs):
-        raise ValueError('a name stands twice')
-    return tuple(pairs)
-
-
-def _whole(low, high):
-    def parse(text):
-        value = int(text)
-        if not low <= value <= high:
-            raise ValueError(f'not within {low} to {high}')
-        return value
-
-    return parse
-
-
-def _level(text):
-    if text not in ('debug', 'info', 'warning', 'error'):
-        raise ValueError('not a level')
-    return text
-
-
-def _flag(text):
-    values = {'1': True, 'true': True, '0': False, 'false': False, '': False}
-    if text.lower() not in values:
-        raise ValueError('not true or false')
-    return values[text.lower()]
-
-
-def read_secret(path):
-    """Return the fleet secret from a file, without surrounding space."""
-    try:
-        with open(path, 'rb') as file:
-            secret = file.read().strip()
-    except OSError as error:
-        raise ValueError(error.strerror) from error
-    if len(secret) < MIN_SECRET_BYTES:
-        raise ValueError(f'shorter than {MIN_SECRET_BYTES} bytes')
-    return secret
-
-
-def _secret(text):
-    secret = text.encode()
-    if len(secret) < MIN_SECRET_BYTES:
-        raise ValueError(f'shorter than {MIN_SECRET_BYTES} bytes')
-    return secret
-
-
-_ADDRESS_REMEDY = 'give an IP number and a port, such as 127.0.0.1:7400'
-_NAME_REMEDY = 'use lower-case letters, digits, dots and dashes, 63 at most'
-_SECRET_REMEDY = f'give at least {MIN_SECRET_BYTES} bytes'
-
-OPTIONS = (
-    Option('name', 'Name of this process in the fleet.', _name, _NAME_REMEDY),
-    Option(
-        'roles',
-        'Roles of this process: node, control or node,control.',
-        _roles,
-        'give node, control or both, split by a comma',
-    ),
-    Option('data_centre', 'Data centre of this host.', _name, _NAME_REMEDY),
-    Option(
-        'peer_address',
-        'Listener for other processes of the fleet.',
-        _address,
-        _ADDRESS_REMEDY,
-    ),
-    Option(
-        'secret',
-        'Fleet secret; prefer --secret-file.',
-        _secret,
-        _SECRET_REMEDY,
-    ),
-    Option(
-        'secret_file',
-        'File with the fleet secret.',
-        read_secret,
-        'name a readable file with at least 16 bytes',
-    ),
-    Option(
-        'caller_address',
-        'Listener for callers (node).',
-        _address,
-        _ADDRESS_REMEDY,
-    ),
-    Option(
-        'egress_address',
-        'Loopback listener for the backend server: announcements and '
-        'onward calls (node).',
-        _address,
-        _ADDRESS_REMEDY,
-    ),
-    Option(
-        'backend_address',
-        'Where the backend server beside this node listens; empty for a '
-        'node without one.',
-        _address,
-        _ADDRESS_REMEDY,
-    ),
-    Option(
-        'operations_address',
-        'Listener for metrics, health and status.',
-        _address,
-        _ADDRESS_REMEDY,
-    ),
-    Option(
-        'control_hosts',
-        'All control hosts, as name=ip:port,name=ip:port.',
-        control_host_list,
-        'give pairs such as c1=127.0.0.1:7500, split by commas',
-    ),
-    Option(
-        'data_folder',
-        'Folder for durable state (control).',
-        str,
-        'name a folder on a local disk',
-    ),
-    Option(
-        'admin_address',
-        'Listener of the administration API (control).',
-        _address,
-        _ADDRESS_REMEDY,
-    ),
-    Option(
-        'operator_tokens_file',
-        'File with one operator and token a line, split by a space (control).',
-        str,
-        'name a readable file',
-    ),
-    Option(
-        'bootstrap',
-        'Allow an empty data folder to found a new fleet (control).',
-        _flag,
-        'give true or false',
-    ),
-    Option(
-        'fresh_limit_ms',
-        'Age of the configuration above which keyed routes are refused.',
-        _whole(500, 60_000),
-        'give 500 to 60000',
-    ),
-    Option(
-        'drain_timeout_ms',
-        'Longest time that a planned stop waits for running requests.',
-        _whole(0, 600_000),
-        'give 0 to 600000',
-    ),
-    Option(
-        'max_header_bytes',
-        'Largest header block of a request.',
-        _whole(1_024, 262_144),
-        'give 1024 to 262144',
-    ),
-    Option(
-        'max_body_bytes',
-        'Largest body of a request.',
-        _whole(0, 1 << 40),
-        'give 0 to 1099511627776',
-    ),
-    Option(
-        'header_timeout_ms',
-        'Longest time that a caller may take to send its headers.',
-        _whole(100, 600_000),
-        'give 100 to 600000',
-    ),
-    Option(
-        'idle_timeout_ms',
-        'Longest time that a caller connection may stay idle.',
-        _whole(100, 3_600_000),
-        'give 100 to 3600000',
-    ),
-    Option(
-        'log_level',
-        'Lowest level that is logged.',
-        _level,
-        'give debug, info, warning or error',
-    ),
-    Option(
-        'log_json',
-        'Log one JSON object a line.',
-        _flag,
-        'give true or false',
-    ),
-)
 
 _REQUIRED = ('name', 'data_centre', 'peer_address', 'control_hosts')
 _REQUIRED_BY_ROLE = {
     'node': ('caller_address', 'egress_address'),
     'control': ('data_folder', 'admin_address', 'operator_tokens_file'),
 }
+_ADDRESSES = (
+    'peer_address',
+    'caller_address',
+    'egress_address',
+    'backend_address',
+    'operations_address',
+    'admin_address',
+)
+_WILDCARDS = ('0.0.0.0', '::')
 
 
 def load_settings(texts):
@@ -313,27 +97,193 @@
         try:
             values[option.field] = option.parse(text)
         except ValueError as error:
-            shown = '***' if option.field == 'secret' else repr(text)
-            raise BadSetting(
-                f'{option.flag} (or {option.variable}) is {shown}, {error}',
-                option.remedy,
-            ) from error
+            raise _bad(option.field, text, error) from error
     secret = values.pop('secret_file', None)
     if secret is not None:
         values['secret'] = secret
     _check_required(values)
-    return Settings(**values)
+    settings = Settings(**values)
+    for check in _CHECKS:
+        check(settings)
+    return settings
+
+
+def _bad(field, value, problem, remedy=None):
+    option = option_of(field)
+    shown = '***' if field == 'secret' else repr(value)
+    return BadSetting(
+        f'{option.flag} (or {option.variable}) is {shown}, {problem}',
+        remedy or option.remedy,
+    )
 
 
 def _check_required(values):
     if 'secret' not in values:
         raise BadSetting(
-            'neither --secret-file nor --secret is set', _SECRET_REMEDY
+            'neither --secret-file nor --secret is set', SECRET_REMEDY
         )
     needed = list(_REQUIRED)
     for role in values.get('roles', ('node',)):
         needed.extend(_REQUIRED_BY_ROLE[role])
     for field in needed:
         if field not in values:
-            option = next(item for item in OPTIONS if item.field == field)
-            raise BadSetting(f'{option.flag} is not set', option.remedy)
+            option = option_of(field)
+            raise BadSetting(
+                f'{option.flag} (or {option.variable}) is not set',
+                option.remedy,
+            )
+
+
+def _check_address_clash(settings):
+    seen = {}
+    for field in _ADDRESSES:
+        text = getattr(settings, field)
+        if not text:
+            continue
+        host, port = split_address(text)
+        for other_host, other_port, other in seen.values():
+            wild = host in _WILDCARDS or other_host in _WILDCARDS
+            if port and port == other_port and (wild or host == other_host):
+                raise _bad(
+                    field,
+                    text,
+                    f'the same as {option_of(other).flag}',
+                    'give each listener an address of its own',
+                )
+        seen[field] = (host, port, field)
+
+
+def _check_egress(settings):
+    if settings.egress_address and not is_loopback(settings.egress_address):
+        raise _bad(
+            'egress_address',
+            settings.egress_address,
+            'which other hosts can reach',
+            'give a loopback address; only the backend server beside this '
+            'node may use the listener',
+        )
+
+
+def _check_control_hosts(settings):
+    hosts = settings.control_hosts
+    shown = ','.join(f'{name}={address}' for name, address in hosts)
+    if len(hosts) not in CONTROL_HOST_COUNTS:
+        raise _bad(
+            'control_hosts',
+            shown,
+            f'{len(hosts)} hosts',
+            'name 1, 3, 5, 7 or 9 control hosts',
+        )
+    repeated = Counter(address for _, address in hosts).most_common(1)[0]
+    if repeated[1] > 1:
+        raise _bad(
+            'control_hosts',
+            shown,
+            f'{repeated[0]} stands twice',
+            'give each control host an address of its own',
+        )
+    if 'control' not in settings.roles:
+        return
+    if dict(hosts).get(settings.name) != settings.peer_address:
+        raise _bad(
+            'control_hosts',
+            shown,
+            f'without {settings.name}={settings.peer_address}',
+            'list this control host under its --name and --peer-address',
+        )
+
+
+def _check_data_folder(settings):
+    if 'control' not in settings.roles:
+        return
+    folder = os.path.abspath(settings.data_folder)
+    while not os.path.exists(folder):
+        folder = os.path.dirname(folder)
+    if not os.path.isdir(folder) or not os.access(folder, os.W_OK | os.X_OK):
+        raise _bad(
+            'data_folder',
+            settings.data_folder,
+            f'and {folder} is not a writable folder',
+            'name a folder that this process may create or write',
+        )
+
+
+def _check_tokens_file(settings):
+    if 'control' not in settings.roles:
+        return
+    path = settings.operator_tokens_file
+    if not os.path.isfile(path) or not os.access(path, os.R_OK):
+        raise _bad('operator_tokens_file', path, 'not a readable file')
+
+
+_CHECKS = (
+    _check_address_clash,
+    _check_egress,
+    _check_control_hosts,
+    _check_data_folder,
+    _check_tokens_file,
+)
+
+_EPILOGUE = """\
+A flag goes before its environment variable.
+
+\b
+A control host that founds a fleet of one:
+  damasklandingd --roles control --name c1 --data-centre kushiro \\
+    --peer-address 127.0.0.1:7500 --control-hosts c1=127.0.0.1:7500 \\
+    --secret-file secret --data-folder data/c1 --bootstrap \\
+    --admin-address 127.0.0.1:7600 --operator-tokens-file tokens
+
+\b
+A node beside a backend server:
+  damasklandingd --name n1 --data-centre kushiro \\
+    --peer-address 127.0.0.1:7401 --control-hosts c1=127.0.0.1:7500 \\
+    --secret-file secret --caller-address 127.0.0.1:8001 \\
+    --egress-address 127.0.0.1:8101 --backend-address 127.0.0.1:9001
+
+SIGTERM is the planned stop: running requests end first.
+"""
+
+
+def daemon_command(run):
+    """
+    Return the click command of the daemon.
+
+    :param run: called with the validated :class:`Settings`.
+    """
+    import click
+
+    from damasklanding import __version__
+
+    def main(**texts):
+        try:
+            run(load_settings(texts))
+        except DamasklandingError as error:
+            click.echo(f'damasklandingd: {error}', err=True)
+            raise SystemExit(error.exit_status) from error
+
+    command = click.command(
+        'damasklandingd',
+        help='Run a node, a control host, or both in one process.',
+        epilog=_EPILOGUE,
+        context_settings={'help_option_names': ['-h', '--help']},
+    )(main)
+    for option in OPTIONS:
+        command.params.append(_click_option(click, option))
+    return click.version_option(__version__, prog_name='damasklandingd')(
+        command
+    )
+
+
+def _click_option(click, option):
+    switch = {}
+    if option.switch:
+        switch = {'is_flag': False, 'flag_value': 'true'}
+    return click.Option(
+        [option.flag, option.field],
+        envvar=option.variable,
+        show_envvar=True,
+        metavar=option.metavar,
+        help=option.help,
+        **switch,
+    )
