--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,6 @@
+"""
+bench
+~~~~~
+
+Benchmarks and the demonstration, on real processes over loopback.
+"""
