Issue organisation budgets from one fenced owner per shard

No part bounded an organisation over all hosts. An owner issues only while its view is fresh; the next one starts on a handover, or empty once any earlier owner must have ended.

--- a/damasklanding/messages.capnp
+++ b/damasklanding/messages.capnp
@@ -241,8 +241,7 @@
   organisation @0 :Text;
   epoch @1 :UInt64;
   wanted @2 :UInt32;
-  unused @3 :UInt32;
-  node @4 :Text;
+  node @3 :Text;
 }
 
 struct Grant {
@@ -256,14 +255,14 @@
 struct GrantReturn {
   organisation @0 :Text;
   epoch @1 :UInt64;
-  tokens @2 :UInt32;
+  returned @2 :UInt32;
   serial @3 :UInt64;
 }
 
 struct Handover {
-  organisation @0 :Text;
+  shard @0 :Text;
   epoch @1 :UInt64;
-  tokens @2 :Float64;
+  state @2 :Data;
 }
 
 struct Accepted { revision @0 :UInt64; }
--- a/damasklanding/wire.py
+++ b/damasklanding/wire.py
@@ -385,12 +385,15 @@
 
 @message('grantRequest')
 class GrantRequest:
-    """Asks the budget owner for tokens, handing back unused ones."""
+    """
+    Asks the budget owner for tokens.
+
+    :ivar epoch: of the ownership, as the asker knows it.
+    """
 
     organisation: str
     epoch: int
     wanted: int
-    unused: int
     node: str
 
 
@@ -407,21 +410,30 @@
 
 @message('grantReturn')
 class GrantReturn:
-    """Hands back unused tokens of a grant that has not lapsed."""
+    """
+    Hands back unused tokens of a grant that has not lapsed.
+
+    :ivar returned: tokens of this grant handed back so far.
+    """
 
     organisation: str
     epoch: int
-    tokens: int
+    returned: int
     serial: int
 
 
 @message('handover')
 class Handover:
-    """A stopping owner's last word to the next one."""
+    """
+    A previous owner's last word to the next one; it issues no more.
 
-    organisation: str
+    :ivar epoch: of the new ownership.
+    :ivar state: encoded buckets of the shard.
+    """
+
+    shard: str
     epoch: int
-    tokens: float
+    state: bytes
 
 
 @message('accepted')
