--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -25,6 +25,7 @@
 from bench.operator import Operator
 from bench.process import STOP_TIMEOUT_S
 from bench.process import Process
+from bench.relay import Relay
 from damasklanding.errors import DamasklandingError
 
 __all__ = [
@@ -55,6 +56,8 @@
     :ivar nodes: node processes.
     :ivar standins: stand-in backend servers, one beside each node that has
         a service.
+    :ivar relays: :class:`bench.relay.Relay` of each node's two legs, where
+        ``relay_links`` is set before nodes are added.
     :ivar operator: :class:`bench.operator.Operator`.
     """
 
@@ -64,6 +67,8 @@
         self.nodes = []
         self.standins = []
         self.others = []
+        self.relays = []
+        self.relay_links = False
         self.operator = None
         self.control_hosts = ''
         self._network = network
@@ -109,7 +114,9 @@
             **(options or {}),
         }
         if service:
-            options['backend-address'] = f'{ip}:{BACKEND_PORT}'
+            options['backend-address'] = self._reached(ip, BACKEND_PORT)
+        if self.relay_links:
+            options['advertise-address'] = self._reached(ip, PEER_PORT)
         node = self._daemon(name, 'node', ip, data_centre, options)
         node.service = service
         node.start()
@@ -180,6 +187,15 @@
             except subprocess.TimeoutExpired:
                 process.kill()
 
+    def _reached(self, ip, port):
+        target = f'{ip}:{port}'
+        if not self.relay_links:
+            return target
+        relay = Relay(f'{self.next_ip()}:{port}', target)
+        relay.start()
+        self.relays.append(relay)
+        return relay.listen
+
     def next_ip(self):
         """Return an address that no process of this run has yet."""
         self._addresses += 1
--- a/damasklanding/options.py
+++ b/damasklanding/options.py
@@ -190,6 +190,13 @@
         'name a readable file with at least 16 bytes',
         'FILE',
     ),
+    Option(
+        'advertise_address',
+        'Where other processes reach the peer listener, if elsewhere.',
+        _address,
+        _ADDRESS_REMEDY,
+        'IP:PORT',
+    ),
     Option(
         'caller_address',
         'Listener for callers (node).',
--- a/damasklanding/settings.py
+++ b/damasklanding/settings.py
@@ -43,6 +43,7 @@
     data_centre: str
     peer_address: str
     secret: bytes
+    advertise_address: str = ''
     caller_address: str = ''
     egress_address: str = ''
     backend_address: str = ''
