Serve the administration API from every control host

Operators had no way in. The API reads from the local state, says its revision and the age of its proof, and turns writes into envelopes with the operator of the token, the request id and the expected revision. Bodies pass strict models, so a misspelt field is an error; a raw key is refused, since only its digest may arrive.

--- /dev/null
+++ b/damasklanding/control/admin.py
@@ -0,0 +1,302 @@
+"""
+damasklanding.control.admin
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The administration API: a bottle application that every control host serves.
+Reads come from the local state and say how old its proof of freshness is;
+writes become commands that the leader orders.
+"""
+
+import functools
+
+import bottle
+import msgspec
+
+from damasklanding.documents import DOCUMENTS
+from damasklanding.documents import MAX_DOCUMENT_BYTES
+from damasklanding.documents import KeyDocument
+from damasklanding.documents import decode_document
+from damasklanding.documents import resource_from
+from damasklanding.documents import resource_view
+from damasklanding.errors import BadInput
+from damasklanding.errors import Conflict
+from damasklanding.errors import DamasklandingError
+from damasklanding.errors import NotFound
+from damasklanding.errors import error_from_code
+from damasklanding.fleet.commands import DeleteResource
+from damasklanding.fleet.commands import Envelope
+from damasklanding.fleet.commands import GrantKey
+from damasklanding.fleet.commands import HoldBackend
+from damasklanding.fleet.commands import PutControlHost
+from damasklanding.fleet.commands import PutOrganisation
+from damasklanding.fleet.commands import PutProfile
+from damasklanding.fleet.commands import PutService
+from damasklanding.fleet.commands import SetDataCentre
+from damasklanding.fleet.commands import WithdrawKey
+from damasklanding.snapshot import encode_snapshot
+from damasklanding.webapi import bearer_token
+from damasklanding.webapi import expected_revision
+from damasklanding.webapi import framework_error
+from damasklanding.webapi import json_answer
+from damasklanding.webapi import problem_answer
+from damasklanding.webapi import request_body
+from damasklanding.webapi import request_id
+from damasklanding.webapi import whole_number
+
+__all__ = ['admin_app']
+
+FRESH_LIMIT_MS = 5_000
+MAX_HISTORY = 1_000
+
+#: Path segment by kind of resource.
+COLLECTIONS = {
+    'profiles': 'profile',
+    'services': 'service',
+    'organisations': 'organisation',
+    'data-centres': 'data_centre',
+    'backends': 'backend',
+    'control-hosts': 'control_host',
+}
+
+_PUT_COMMANDS = {
+    'profile': lambda item: PutProfile(profile=item),
+    'service': lambda item: PutService(service=item),
+    'organisation': lambda item: PutOrganisation(organisation=item),
+    'control_host': lambda item: PutControlHost(control_host=item),
+    'data_centre': lambda item: SetDataCentre(
+        name=item.name, out=item.out, region=item.region
+    ),
+}
+
+_HOLD_ACTIONS = {'drain': True, 'return': False}
+_OUT_ACTIONS = {'out': True, 'in': False}
+
+
+class Position(msgspec.Struct):
+    """
+    Where a read stands.
+
+    :ivar age_ms: age of the proof that the state was current; None without.
+    """
+
+    term: int
+    revision: int
+    age_ms: int | None
+
+
+class Written(msgspec.Struct):
+    """Answer to a write that is committed."""
+
+    revision: int
+    request_id: str
+    operator: str
+
+
+def admin_app(host, tokens, metrics, telemetry=None):
+    """
+    Return the WSGI application of the administration API.
+
+    :param host: control host; ``view``, ``propose(envelope)``, ``status()``,
+        ``history(limit)`` and ``watchers()`` are used.
+    :param tokens: :class:`damasklanding.operators.OperatorTokens`.
+    :param metrics: counts malformed input and refusals.
+    :param telemetry: :class:`damasklanding.telemetry.FleetTelemetry`.
+    """
+    bottle.BaseRequest.MEMFILE_MAX = MAX_DOCUMENT_BYTES
+    app = bottle.Bottle()
+    app.default_error_handler = framework_error
+    for routes in (_read_routes, _write_routes, _fleet_routes):
+        for method, path, handler in routes(host, telemetry):
+            app.route(path, method, _guard(handler, tokens, metrics), apply=())
+    return app
+
+
+def _guard(handler, tokens, metrics):
+    @functools.wraps(handler)
+    def guarded(**arguments):
+        try:
+            operator = tokens.operator_of(bearer_token())
+            return json_answer(handler(operator=operator, **arguments))
+        except DamasklandingError as error:
+            metrics.add('input_errors_total', 'admin', error.code)
+            return problem_answer(error)
+
+    return guarded
+
+
+def _position(view):
+    age_ms = view.age_ms()
+    return Position(
+        view.state.term,
+        view.state.revision,
+        None if age_ms == float('inf') else int(age_ms),
+    )
+
+
+def _answer(host, **parts):
+    """Return the parts of a read with its position."""
+    if bottle.request.query.get('fresh') == '1':
+        host.view.require_fresh(FRESH_LIMIT_MS)
+    return {**msgspec.structs.asdict(_position(host.view)), **parts}
+
+
+def _kind(collection):
+    kind = COLLECTIONS.get(collection)
+    if kind is None:
+        raise NotFound(
+            f'no collection {collection}',
+            f'use one of {", ".join(COLLECTIONS)}',
+        )
+    return kind
+
+
+def _existing(host, kind, name):
+    resource = host.view.state.get(kind, name)
+    if resource is None:
+        raise NotFound(f'no {kind.replace("_", " ")} {name}')
+    return resource
+
+
+def _read_routes(host, _telemetry):
+    def list_resources(operator, collection):
+        resources = host.view.state.all(_kind(collection))
+        items = [resource_view(item) for _, item in sorted(resources.items())]
+        return _answer(host, items=items)
+
+    def get_resource(operator, collection, name):
+        resource = _existing(host, _kind(collection), name)
+        bottle.response.set_header('ETag', f'"{resource.revision}"')
+        return _answer(host, item=resource_view(resource))
+
+    def list_keys(operator, name):
+        organisation = _existing(host, 'organisation', name)
+        return _answer(host, items=[key.key_id for key in organisation.keys])
+
+    return (
+        ('GET', '/v1/<collection>', list_resources),
+        ('GET', '/v1/<collection>/<name>', get_resource),
+        ('GET', '/v1/organisations/<name>/keys', list_keys),
+    )
+
+
+def _write_routes(host, _telemetry):
+    def put_resource(operator, collection, name):
+        kind = _kind(collection)
+        if kind not in DOCUMENTS:
+            raise BadInput(
+                f'{collection} are not written by operators',
+                'use drain or return',
+            )
+        document = decode_document(request_body(), DOCUMENTS[kind], name)
+        command = _PUT_COMMANDS[kind](resource_from(kind, document))
+        return _propose(host, operator, command)
+
+    def delete_resource(operator, collection, name):
+        command = DeleteResource(kind=_kind(collection), name=name)
+        return _propose(host, operator, command)
+
+    def grant_key(operator, name):
+        document = decode_document(request_body(), KeyDocument)
+        key = msgspec.convert(
+            document, KeyDocument.__base__, from_attributes=True
+        )
+        return _propose(host, operator, GrantKey(organisation=name, key=key))
+
+    def withdraw_key(operator, name, key_id):
+        command = WithdrawKey(organisation=name, key_id=key_id)
+        return _propose(host, operator, command)
+
+    def move_data_centre(operator, name, action):
+        if action not in _OUT_ACTIONS:
+            raise NotFound(f'no action {action}', 'use out or in')
+        region = _existing(host, 'data_centre', name).region
+        command = SetDataCentre(
+            name=name, out=_OUT_ACTIONS[action], region=region
+        )
+        return _propose(host, operator, command)
+
+    def hold_backend(operator, name, action):
+        if action not in _HOLD_ACTIONS:
+            raise NotFound(f'no action {action}', 'use drain or return')
+        command = HoldBackend(name=name, held_out=_HOLD_ACTIONS[action])
+        return _propose(host, operator, command)
+
+    return (
+        ('PUT', '/v1/<collection>/<name>', put_resource),
+        ('DELETE', '/v1/<collection>/<name>', delete_resource),
+        ('POST', '/v1/organisations/<name>/keys', grant_key),
+        ('DELETE', '/v1/organisations/<name>/keys/<key_id>', withdraw_key),
+        ('POST', '/v1/data-centres/<name>/<action>', move_data_centre),
+        ('POST', '/v1/backends/<name>/<action>', hold_backend),
+    )
+
+
+def _fleet_routes(host, telemetry):
+    def status(operator):
+        loads = telemetry.loads() if telemetry else {}
+        return _answer(
+            host,
+            control_host=host.status(),
+            loads=loads,
+            data_centres_out=[
+                item.name
+                for item in host.view.state.all('data_centre').values()
+                if item.out
+            ],
+        )
+
+    def history(operator):
+        limit = whole_number('limit', 50, MAX_HISTORY)
+        return _answer(host, items=host.history(limit))
+
+    def watchers(operator):
+        revision = whole_number('revision', host.view.state.revision, 1 << 63)
+        items = list(host.watchers())
+        return _answer(
+            host,
+            items=items,
+            lagging=[item.name for item in items if item.revision < revision],
+        )
+
+    def burn(operator):
+        report = telemetry.burn.report() if telemetry else None
+        return _answer(host, burn=report)
+
+    def snapshot(operator):
+        if bottle.request.query.get('fresh') == '1':
+            host.view.require_fresh(FRESH_LIMIT_MS)
+        bottle.response.content_type = 'application/octet-stream'
+        return encode_snapshot(host.view.state)
+
+    return (
+        ('GET', '/v1/status', status),
+        ('GET', '/v1/history', history),
+        ('GET', '/v1/watchers', watchers),
+        ('GET', '/v1/burn', burn),
+        ('GET', '/v1/snapshot', snapshot),
+    )
+
+
+def _propose(host, operator, command):
+    resend_id = request_id()
+    bottle.response.set_header('Request-Id', resend_id)
+    outcome = host.propose(
+        Envelope(
+            request_id=f'{operator}:{resend_id}',
+            operator=operator,
+            command=command,
+            expected_revision=expected_revision(),
+        )
+    )
+    if outcome.error:
+        raise _failure(outcome)
+    bottle.response.set_header('ETag', f'"{outcome.revision}"')
+    return Written(outcome.revision, resend_id, operator)
+
+
+def _failure(outcome):
+    error = error_from_code(outcome.error, outcome.problem)
+    if isinstance(error, Conflict):
+        error.winner = outcome.winner
+        error.revision = outcome.revision
+    return error
