Add the client of the administration API

It asks one control host after the other with the same request id until one answers, so that a change applies once, and it can ask all of them.

--- /dev/null
+++ b/damasklanding/adminclient.py
@@ -0,0 +1,245 @@
+"""
+damasklanding.adminclient
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Client of the administration API over urllib3.  A call goes to the first
+control host that answers; a resend carries the same request id, so that a
+change applies once however many hosts were asked.
+"""
+
+from dataclasses import dataclass
+import time
+from urllib.parse import quote
+from urllib.parse import urlencode
+import uuid
+
+import msgspec
+import urllib3
+
+from damasklanding.errors import BadSetting
+from damasklanding.errors import Conflict
+from damasklanding.errors import DamasklandingError
+from damasklanding.errors import Unavailable
+from damasklanding.errors import error_from_code
+from damasklanding.options import split_address
+
+__all__ = ['AdminClient', 'HostReply', 'parse_addresses', 'path_of']
+
+CONNECT_TIMEOUT_MS = 1_000
+READ_TIMEOUT_MS = 10_000
+ROUNDS = 3
+ROUND_PAUSE_MS = 300
+_TRY_ANOTHER = {'unavailable', 'not-leader', 'stale-state', 'link-closed'}
+_TRY_ANOTHER |= {'link-timeout'}
+
+
+@dataclass(frozen=True)
+class HostReply:
+    """
+    What one control host answered.
+
+    :ivar body: decoded JSON, None on an error.
+    :ivar error: :class:`DamasklandingError`, None on success.
+    """
+
+    address: str
+    body: object = None
+    error: DamasklandingError | None = None
+
+
+def parse_addresses(text):
+    """
+    Return the list of addresses in ``ip:port,ip:port``.
+
+    :raises BadSetting: names the flag and the value.
+    """
+    addresses = [part.strip() for part in text.split(',') if part.strip()]
+    try:
+        for address in addresses:
+            split_address(address)
+    except ValueError as error:
+        raise BadSetting(
+            f'--admin (or DAMASKLANDING_ADMIN) is {text!r}, {error}',
+            'give addresses such as 127.0.0.1:7600, split by commas',
+        ) from error
+    if not addresses:
+        raise BadSetting(
+            '--admin (or DAMASKLANDING_ADMIN) is not set',
+            'give the administration addresses of the control hosts',
+        )
+    return addresses
+
+
+def path_of(*parts, **query):
+    """Return the path of the API for its parts and query."""
+    path = '/v1/' + '/'.join(quote(str(part), safe='') for part in parts)
+    query = {name: value for name, value in query.items() if value is not None}
+    return f'{path}?{urlencode(query)}' if query else path
+
+
+class AdminClient:
+    """
+    Calls the administration API of a fleet.
+
+    :ivar addresses: ``ip:port`` of each control host, asked in this order.
+    """
+
+    def __init__(self, addresses, token, timeout_ms=READ_TIMEOUT_MS):
+        self.addresses = list(addresses)
+        self._token = token
+        self._timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_MS / 1000, read=timeout_ms / 1000
+        )
+        self._pools = {}
+
+    def call(
+        self, method, path, body=None, expected_revision=None, request_id=None
+    ):
+        """
+        Call the first control host that answers.
+
+        :param body: encoded as JSON unless it is None.
+        :param expected_revision: 0 for a resource that must not exist yet.
+        :param request_id: that of an earlier send, to resend it.
+        :return: decoded JSON.
+        :raises DamasklandingError: as the API reported it.
+        :raises Unavailable: where no control host answered.
+        """
+        headers = self._headers(expected_revision, request_id)
+        return self._first(method, path, body, headers, _decode_json)
+
+    def download(self, path):
+        """Return the bytes that the first answering control host gives."""
+        return self._first('GET', path, None, self._headers(), bytes)
+
+    def call_each(self, path):
+        """Ask every control host; return a list of :class:`HostReply`."""
+        return self._each(path, _decode_json)
+
+    def download_each(self, path):
+        """Ask every control host for bytes; see :meth:`call_each`."""
+        return self._each(path, bytes)
+
+    def close(self):
+        """Close all connections."""
+        for pool in self._pools.values():
+            pool.close()
+        self._pools.clear()
+
+    def _each(self, path, decode):
+        headers = self._headers()
+        replies = []
+        for address in self.addresses:
+            try:
+                body = self._send(address, 'GET', path, None, headers, decode)
+                replies.append(HostReply(address, body))
+            except DamasklandingError as error:
+                replies.append(HostReply(address, error=error))
+        return replies
+
+    def _first(self, method, path, body, headers, decode):
+        failures = {}
+        for attempt in range(ROUNDS):
+            if attempt:
+                time.sleep(ROUND_PAUSE_MS / 1000)
+            for address in list(self.addresses):
+                try:
+                    answer = self._send(
+                        address, method, path, body, headers, decode
+                    )
+                except Unavailable as error:
+                    if error.code not in _TRY_ANOTHER:
+                        raise
+                    failures[address] = error
+                    continue
+                self._prefer(address)
+                return answer
+        raise _all_failed(failures)
+
+    def _prefer(self, address):
+        self.addresses.remove(address)
+        self.addresses.insert(0, address)
+
+    def _headers(self, expected_revision=None, request_id=None):
+        headers = {
+            'Authorization': f'Bearer {self._token}',
+            'Content-Type': 'application/json',
+            'Request-Id': request_id or uuid.uuid4().hex,
+        }
+        if expected_revision == 0:
+            headers['If-None-Match'] = '*'
+        elif expected_revision is not None:
+            headers['If-Match'] = f'"{expected_revision}"'
+        return headers
+
+    def _send(self, address, method, path, body, headers, decode):
+        data = None if body is None else msgspec.json.encode(body)
+        try:
+            answer = self._pool(address).urlopen(
+                method,
+                path,
+                body=data,
+                headers=headers,
+                retries=False,
+                redirect=False,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise Unavailable(
+                f'{address} does not answer ({_brief(error)})',
+                'check that the control host runs and the path to it',
+            ) from error
+        if answer.status >= 400:
+            raise _problem(address, answer)
+        return decode(answer.data)
+
+    def _pool(self, address):
+        pool = self._pools.get(address)
+        if pool is None:
+            host, port = split_address(address)
+            pool = self._pools[address] = urllib3.HTTPConnectionPool(
+                host, port, timeout=self._timeout, maxsize=1, retries=False
+            )
+        return pool
+
+
+def _decode_json(data):
+    try:
+        return msgspec.json.decode(data)
+    except msgspec.MsgspecError as error:
+        raise DamasklandingError(
+            'the answer is not JSON',
+            'check that --admin names the administration API',
+        ) from error
+
+
+def _problem(address, answer):
+    try:
+        fields = msgspec.json.decode(answer.data)
+        error = error_from_code(
+            fields['code'],
+            fields['detail'],
+            fields['remedy'],
+            fields.get('retry_after_ms'),
+        )
+    except (msgspec.MsgspecError, KeyError, TypeError):
+        return DamasklandingError(
+            f'{address} answered {answer.status}',
+            'check that --admin names the administration API',
+        )
+    if isinstance(error, Conflict):
+        error.winner = fields.get('winner', '')
+        error.revision = fields.get('revision')
+    return error
+
+
+def _brief(error):
+    cause = getattr(error, 'reason', None) or error
+    return type(cause).__name__
+
+
+def _all_failed(failures):
+    problems = '; '.join(error.problem for error in failures.values())
+    return Unavailable(
+        f'no control host could serve the call ({problems})',
+        'check that a majority of the control hosts runs and is reachable',
+    )
