Claim requests that must not repeat through a replicated log

Nothing kept a resent request from running twice. ClaimClient claims, waits for a running attempt, settles in the background, and releases a claim whose own outcome it could not learn, so that not-run can be said.

--- /dev/null
+++ b/damasklanding/claims/client.py
@@ -0,0 +1,224 @@
+"""
+damasklanding.claims.client
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Claims of an entry node on requests that must not repeat, made through the
+replicated claims log of the control hosts.
+"""
+
+import hashlib
+import os
+
+import gevent
+import msgspec
+
+from damasklanding.claims.commands import CLAIMS_GROUP
+from damasklanding.claims.commands import DIGEST_BYTES
+from damasklanding.claims.commands import MAX_ANSWER_BODY_BYTES
+from damasklanding.claims.commands import ClaimRequest
+from damasklanding.claims.commands import SettleRequest
+from damasklanding.claims.commands import claim_digest
+from damasklanding.claims.commands import decode_reply
+from damasklanding.claims.commands import encode
+from damasklanding.errors import DamasklandingError
+from damasklanding.errors import Overloaded
+from damasklanding.errors import Unavailable
+
+__all__ = ['ClaimClient']
+
+CLAIM_TIMEOUT_MS = 1_000
+POLL_FIRST_MS = 25
+POLL_LAST_MS = 400
+SETTLE_TIMEOUT_MS = 1_000
+SETTLE_FIRST_PAUSE_MS = 50
+SETTLE_LAST_PAUSE_MS = 2_000
+SETTLE_GIVE_UP_MS = 60_000
+MAX_SETTLING = 2_000
+MAX_SETTLING_BODY_BYTES = 8 * 1024 * 1024
+VALIDITY = 0.9  # part of the retention in which a claim may be used
+
+
+class ClaimClient:
+    """
+    Claims and settles for one node.
+
+    :param control: has ``propose(group, payload, timeout_ms)``.
+    :param groups: names of the claims logs, shared out by key.
+    """
+
+    def __init__(
+        self,
+        control,
+        now_ms,
+        metrics,
+        groups=(CLAIMS_GROUP,),
+        spawn=gevent.spawn,
+        sleep=gevent.sleep,
+    ):
+        self._control = control
+        self._now_ms = now_ms
+        self._metrics = metrics
+        self._groups = groups
+        self._spawn = spawn
+        self._sleep = sleep
+        self._settling = 0
+        self._settling_bytes = 0
+
+    def claim(self, organisation, key, fingerprint, retention_ms, wait_ms):
+        """
+        Claim a request under its idempotency key.
+
+        Where another attempt may be running, wait for its outcome.
+
+        :param key: the caller's idempotency key.
+        :param fingerprint: digest of method, path and body, bytes.
+        :param retention_ms: how long the key is remembered at least.
+        :param wait_ms: longest wait for another attempt's outcome.
+        :return: :class:`damasklanding.claims.commands.ClaimReply` with the
+            verdict ``granted``, ``settled``, ``running`` or ``mismatch``.
+        :raises Unavailable: no quorum answered; the request must not run,
+            and its outcome is ``not-run``.
+        :raises Overloaded: no room for another claim; not run either.
+        """
+        digest = claim_digest(organisation, key)
+        request = ClaimRequest(
+            organisation=organisation,
+            key=digest,
+            attempt=os.urandom(DIGEST_BYTES),
+            fingerprint=hashlib.blake2b(
+                fingerprint, digest_size=DIGEST_BYTES
+            ).digest(),
+            retention_ms=retention_ms,
+        )
+        try:
+            reply = self._claim_within(request, wait_ms)
+        except BaseException:
+            # The claim may stand, or come to stand later, for no one.
+            self._release(request)
+            raise
+        self._metrics.add('claims_total', reply.verdict)
+        if reply.verdict == 'full':
+            raise _not_run(Overloaded('there is no room for another claim'))
+        return reply
+
+    def settle(
+        self,
+        organisation,
+        key,
+        attempt,
+        outcome,
+        status=0,
+        headers=(),
+        body=None,
+    ):
+        """
+        Record what became of a granted claim, in the background.
+
+        :param attempt: as in the reply that granted the claim.
+        :param outcome: ``ran``, ``not-run`` (the key is free again) or
+            ``unknown`` (it stays so).
+        :param headers: names and values in turn.
+        :param body: the whole body, None where it is not at hand.
+        """
+        kept = body is not None and self._may_keep(len(body))
+        request = SettleRequest(
+            organisation=organisation,
+            key=claim_digest(organisation, key),
+            attempt=attempt,
+            outcome=outcome,
+            kept=kept,
+            status=status if kept else 0,
+            headers=tuple(headers) if kept else (),
+            body=body if kept else b'',
+        )
+        self._settle_later(request)
+
+    def _may_keep(self, size):
+        return (
+            size <= MAX_ANSWER_BODY_BYTES
+            and self._settling_bytes + size <= MAX_SETTLING_BODY_BYTES
+        )
+
+    def _claim_within(self, request, wait_ms):
+        payload = encode(request)
+        deadline_ms = self._now_ms() + wait_ms
+        pause_ms = POLL_FIRST_MS
+        while True:
+            sent_ms = self._now_ms()
+            reply = self._propose(request.key, payload, CLAIM_TIMEOUT_MS)
+            if reply.verdict == 'granted':
+                reply.valid_until_ms = (
+                    sent_ms + request.retention_ms * VALIDITY
+                )
+            if reply.verdict != 'running':
+                return reply
+            left_ms = deadline_ms - self._now_ms()
+            if left_ms <= 0:
+                return reply
+            self._sleep(min(pause_ms, left_ms) / 1000)
+            pause_ms = min(pause_ms * 2, POLL_LAST_MS)
+
+    def _propose(self, key, payload, timeout_ms):
+        group = self._groups[key[0] % len(self._groups)]
+        try:
+            data = self._control.propose(group, payload, timeout_ms)
+            reply = decode_reply(data)
+        except (DamasklandingError, msgspec.MsgspecError) as error:
+            self._metrics.add('claims_total', 'unreachable')
+            raise _not_run(
+                Unavailable(
+                    f'the claim could not be decided ({error})',
+                    'send it again with the same idempotency key',
+                    retry_after_ms=1_000,
+                )
+            ) from error
+        if reply.verdict in ('malformed', 'released'):
+            raise _not_run(Unavailable(f'the claim was {reply.verdict}'))
+        return reply
+
+    def _release(self, request):
+        self._settle_later(
+            SettleRequest(
+                organisation=request.organisation,
+                key=request.key,
+                attempt=request.attempt,
+                outcome='not-run',
+            )
+        )
+
+    def _settle_later(self, request):
+        if self._settling >= MAX_SETTLING:
+            self._metrics.add('claims_total', 'unsettled')
+            return
+        self._settling += 1
+        self._settling_bytes += len(request.body)
+        self._spawn(self._settle, request)
+
+    def _settle(self, request):
+        try:
+            settled = self._settle_until_known(request)
+        finally:
+            self._settling -= 1
+            self._settling_bytes -= len(request.body)
+        verdict = request.outcome if settled else 'unsettled'
+        self._metrics.add('claims_total', verdict)
+
+    def _settle_until_known(self, request):
+        payload = encode(request)
+        give_up_ms = self._now_ms() + SETTLE_GIVE_UP_MS
+        pause_ms = SETTLE_FIRST_PAUSE_MS
+        group = self._groups[request.key[0] % len(self._groups)]
+        while True:
+            try:
+                self._control.propose(group, payload, SETTLE_TIMEOUT_MS)
+                return True
+            except DamasklandingError:
+                if self._now_ms() >= give_up_ms:
+                    return False
+            self._sleep(pause_ms / 1000)
+            pause_ms = min(pause_ms * 2, SETTLE_LAST_PAUSE_MS)
+
+
+def _not_run(error):
+    error.outcome = 'not-run'
+    return error
