Carry claims inside proposals only

Claim, ClaimReply and Settle frames were declared but claims travel as payloads of proposals to the claims log, so the frames had no sender. They are removed; claims.commands holds the typed commands and the reply.

--- a/damasklanding/messages.capnp
+++ b/damasklanding/messages.capnp
@@ -45,10 +45,6 @@
     grantReturn @32 :GrantReturn;
     handover @33 :Handover;
     accepted @34 :Accepted;
-    # at-most-once claims
-    claim @35 :Claim;
-    claimReply @36 :ClaimReply;
-    settle @37 :Settle;
   }
 }
 
@@ -266,31 +262,3 @@
 }
 
 struct Accepted { revision @0 :UInt64; }
-
-struct Claim {
-  organisation @0 :Text;
-  key @1 :Text;
-  attempt @2 :Text;
-  fingerprint @3 :Text;
-  retentionMs @4 :UInt32;
-  waitMs @5 :UInt32;
-}
-
-struct ClaimReply {
-  verdict @0 :Text;         # granted, running, settled, mismatch
-  attempt @1 :Text;
-  status @2 :UInt16;
-  headers @3 :List(Text);
-  body @4 :Data;
-  outcome @5 :Text;
-}
-
-struct Settle {
-  organisation @0 :Text;
-  key @1 :Text;
-  attempt @2 :Text;
-  outcome @3 :Text;         # ran, not-run or unknown
-  status @4 :UInt16;
-  headers @5 :List(Text);
-  body @6 :Data;
-}
--- a/damasklanding/wire.py
+++ b/damasklanding/wire.py
@@ -443,43 +443,6 @@
     revision: int = 0
 
 
-@message('claim')
-class Claim:
-    """Asks to be the one that runs a request that may not repeat."""
-
-    organisation: str
-    key: str
-    attempt: str
-    fingerprint: str
-    retention_ms: int
-    wait_ms: int = 0
-
-
-@message('claimReply')
-class ClaimReply:
-    """Verdict on a claim, with the first outcome where it is kept."""
-
-    verdict: str
-    attempt: str = ''
-    status: int = 0
-    headers: list[str] = field(default_factory=list)
-    body: bytes = b''
-    outcome: str = ''
-
-
-@message('settle')
-class Settle:
-    """Records what became of a claimed request."""
-
-    organisation: str
-    key: str
-    attempt: str
-    outcome: str
-    status: int = 0
-    headers: list[str] = field(default_factory=list)
-    body: bytes = b''
-
-
 def _camel(name):
     head, *rest = name.split('_')
     return head + ''.join(part.capitalize() for part in rest)
