--- /dev/null
+++ b/damasklanding/control/client.py
@@ -0,0 +1,92 @@
+"""
+damasklanding.control.client
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Reaches any control host that answers, for nodes and control hosts alike.
+"""
+
+import gevent
+
+from damasklanding.clock import monotonic_ms
+from damasklanding.errors import NotLeader
+from damasklanding.errors import Unavailable
+from damasklanding.wire import Propose
+
+__all__ = ['ControlClient']
+
+ATTEMPT_MS = 2_000
+PAUSE_MS = 50
+
+
+class ControlClient:
+    """Sends requests to the control hosts in turn until one answers."""
+
+    def __init__(self, pool, control_hosts, now_ms=monotonic_ms):
+        """
+        Start with the first control host.
+
+        :param pool: :class:`~damasklanding.links.LinkPool`.
+        :param control_hosts: pairs of name and address.
+        """
+        self._pool = pool
+        self._addresses = [address for _, address in control_hosts]
+        self._next = 0
+        self._now_ms = now_ms
+
+    def propose(self, group, payload, timeout_ms):
+        """
+        Have a command accepted; the same payload is resent until then.
+
+        :param payload: carries an id of its own, so that a resend is
+            applied once.
+        :return: bytes of the outcome.
+        :raises Unavailable: its message says whether the outcome is
+            unknown.
+        """
+        return self.request_any(Propose(group, payload), timeout_ms).outcome
+
+    def request_any(self, message, timeout_ms):
+        """
+        Send a message until one control host replies.
+
+        :raises Unavailable: where none did in time.
+        """
+        deadline_ms = self._now_ms() + timeout_ms
+        may_have_run = False
+        while True:
+            for _ in self._addresses:
+                left_ms = deadline_ms - self._now_ms()
+                if left_ms <= 0:
+                    raise _unanswered(message, timeout_ms, may_have_run)
+                address = self._addresses[self._next]
+                try:
+                    link = self._pool.get(address)
+                except Unavailable:
+                    self._turn()
+                    continue
+                try:
+                    return link.request(message, min(left_ms, ATTEMPT_MS))
+                except NotLeader:
+                    self._turn()
+                except Unavailable:
+                    may_have_run = True
+                    self._drop_silent(address, link)
+                    self._turn()
+            gevent.sleep(PAUSE_MS / 1000)
+
+    def _turn(self):
+        self._next = (self._next + 1) % len(self._addresses)
+
+    def _drop_silent(self, address, link):
+        if link.silent_ms() > ATTEMPT_MS / 2:
+            self._pool.forget(address)
+
+
+def _unanswered(message, timeout_ms, may_have_run):
+    outcome = 'its outcome is unknown' if may_have_run else 'it did not run'
+    return Unavailable(
+        f'no control host answered {message.member} in {timeout_ms} ms, '
+        f'{outcome}',
+        'check the control hosts; the same request may be sent again',
+        retry_after_ms=1_000,
+    )
--- /dev/null
+++ b/damasklanding/control/election.py
@@ -0,0 +1,149 @@
+"""
+damasklanding.control.election
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Leader election of a replica: randomized timeouts, a pre-vote that disturbs
+nobody, then a vote that is durable before it is given.
+"""
+
+import gevent
+from gevent.queue import Queue
+
+from damasklanding.control.journal import Vote
+from damasklanding.control.members import quorum_reached
+from damasklanding.errors import DamasklandingError
+from damasklanding.wire import VoteReply
+from damasklanding.wire import VoteRequest
+
+__all__ = ['campaign', 'grant_vote', 'run_elections']
+
+
+def run_elections(replica):
+    """Call an election whenever no leader was heard for long enough."""
+    timing = replica.timing
+    step_ms = timing.heartbeat_ms
+    while True:
+        before_ms = replica.now_ms()
+        replica.election_wanted.wait(step_ms / 1000)
+        stalled_ms = replica.now_ms() - before_ms - step_ms
+        if stalled_ms > step_ms:
+            replica.postpone_election()
+        elif replica.leadership is not None:
+            replica.leadership.check_quorum()
+        elif replica.election_wanted.is_set():
+            replica.election_wanted.clear()
+            campaign(replica, transfer=True)
+        elif replica.election_due():
+            campaign(replica)
+
+
+def campaign(replica, transfer=False):
+    """
+    Try to become leader.
+
+    :param transfer: the leader asked for it, so no pre-vote is needed.
+    """
+    replica.postpone_election()
+    if not replica.is_voter():
+        return
+    if not transfer and not _wins(replica, replica.term + 1, True, False):
+        return
+    if replica.leadership is not None or replica.hears_leader(transfer):
+        return
+    term = replica.term + 1
+    replica.observe_term(term)
+    replica.journal.vote = Vote(term, replica.name)
+    replica.journal.sync_vote()
+    won = _wins(replica, term, False, transfer)
+    replica.count('elections_total', 'won' if won else 'lost')
+    if won and replica.term == term:
+        replica.lead()
+
+
+def grant_vote(replica, request):
+    """Decide on a vote request and return the reply."""
+    granted = _may_grant(replica, request)
+    if granted and not request.pre_vote:
+        replica.observe_term(request.term)
+        replica.journal.vote = Vote(request.term, request.candidate)
+        replica.postpone_election()
+        replica.journal.sync_vote()
+        granted = replica.term == request.term
+    return VoteReply(replica.term, granted, replica.incarnation)
+
+
+def _may_grant(replica, request):
+    if replica.hears_leader(request.transfer):
+        return False
+    vote = replica.journal.vote
+    if request.pre_vote:
+        in_time = request.term > vote.term
+    elif request.term == vote.term:
+        in_time = vote.voted_for in ('', request.candidate)
+    else:
+        in_time = request.term > vote.term
+    return in_time and _is_up_to_date(replica.journal, request)
+
+
+def _is_up_to_date(journal, request):
+    candidate = (request.last_term, request.last_index)
+    return candidate >= (journal.last_term, journal.last_index)
+
+
+def _wins(replica, term, pre_vote, transfer):
+    request = VoteRequest(
+        replica.group,
+        term,
+        replica.name,
+        replica.journal.last_index,
+        replica.journal.last_term,
+        pre_vote,
+        replica.incarnation,
+        transfer,
+    )
+    electorates = replica.membership.electorates()
+    granted = {replica.name: replica.incarnation}
+    replies = Queue()
+    jobs = [
+        gevent.spawn(_ask, replica, name, request, replies)
+        for name in _others(replica, electorates)
+    ]
+    try:
+        with gevent.Timeout(replica.timing.election_min_ms / 1000, False):
+            _count(replica, electorates, granted, replies, len(jobs))
+    finally:
+        gevent.killall(jobs, block=False)
+    return _has_quorum(electorates, granted)
+
+
+def _count(replica, electorates, granted, replies, expected):
+    for _ in range(expected):
+        if _has_quorum(electorates, granted):
+            return
+        name, reply = replies.get()
+        if reply is None:
+            continue
+        replica.observe_term(reply.term)
+        if reply.granted:
+            granted[name] = reply.incarnation
+
+
+def _others(replica, electorates):
+    names = {m.name for members in electorates for m in members if m.voter}
+    return sorted(names - {replica.name})
+
+
+def _ask(replica, name, request, replies):
+    timeout_ms = replica.timing.election_min_ms / 2
+    try:
+        reply = replica.send(name, request, timeout_ms)
+    except DamasklandingError:
+        reply = None
+    replies.put((name, reply))
+
+
+def _has_quorum(electorates, granted):
+    return all(
+        quorum_reached(members, lambda m: granted.get(m.name) == m.incarnation)
+        for members in electorates
+    )
--- /dev/null
+++ b/damasklanding/control/host.py
@@ -0,0 +1,237 @@
+"""
+damasklanding.control.host
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Assembly of one control host: its data folder, its replicas and the view
+that they keep.
+"""
+
+from contextlib import ExitStack
+import os
+
+import gevent
+import msgspec
+
+from damasklanding.clock import monotonic_ms
+from damasklanding.clock import wall_ms
+from damasklanding.control.configuration import ConfigurationMachine
+from damasklanding.control.founding import choose_incarnation
+from damasklanding.control.founding import stored_incarnation
+from damasklanding.control.groups import group_handlers
+from damasklanding.control.journal import Journal
+from damasklanding.control.members import FOUNDING
+from damasklanding.control.members import Member
+from damasklanding.control.replica import Replica
+from damasklanding.control.storage import locked_folder
+from damasklanding.errors import LinkTimeout
+from damasklanding.errors import Unavailable
+from damasklanding.fleet.commands import Outcome
+from damasklanding.node.view import FleetView
+
+__all__ = ['ControlHost', 'GroupStatus', 'HostStatus']
+
+CONFIG = 'config'
+PROPOSE_TIMEOUT_MS = 5_000
+RETRY_MS = 50
+SILENT_LINK_MS = 600
+
+_encode = msgspec.msgpack.Encoder().encode
+_decode_outcome = msgspec.msgpack.Decoder(Outcome).decode
+
+
+class GroupStatus(msgspec.Struct, frozen=True):
+    """One replica and the members that it knows."""
+
+    group: str
+    role: str
+    leader: str
+    term: int
+    last_index: int
+    commit_index: int
+    applied_index: int
+    snapshot_index: int
+    confirmed_age_ms: float | None
+    members: tuple[Member, ...]
+
+
+class HostStatus(msgspec.Struct, frozen=True):
+    """A control host's account of itself."""
+
+    name: str
+    data_centre: str
+    incarnation: str
+    revision: int
+    groups: tuple[GroupStatus, ...]
+
+
+class ControlHost:
+    """
+    One control host.
+
+    :ivar view: the configuration as accepted so far.
+    :ivar config: :class:`Replica` of the configuration.
+    """
+
+    def __init__(
+        self,
+        settings,
+        identity,
+        pool,
+        metrics=None,
+        now_ms=monotonic_ms,
+        timing=None,
+    ):
+        """
+        Open the data folder and restore what it holds.
+
+        :raises BadSetting: the folder can't be used.
+        :raises CorruptStore: it holds damaged files.
+        """
+        self.settings = settings
+        self.identity = identity
+        self.view = FleetView(now_ms)
+        self.incarnation = ''
+        self._pool = pool
+        self._metrics = metrics
+        self._now_ms = now_ms
+        self._timing = timing
+        self._replicas = {}
+        self._greenlet = None
+        self._resources = ExitStack()
+        self._resources.enter_context(locked_folder(settings.data_folder))
+        self._machine = ConfigurationMachine(self.view, metrics)
+        self.config = self.add_group(CONFIG, self._machine, self._machine.skip)
+
+    def add_group(self, name, machine, on_skipped=None):
+        """
+        Replicate another machine on the control hosts; before the start.
+
+        :return: its :class:`Replica`.
+        """
+        folder = os.path.join(self.settings.data_folder, name)
+        journal = Journal(folder)
+        self._resources.callback(journal.close)
+        replica = Replica(
+            self.settings.name,
+            name,
+            journal,
+            machine,
+            self._send,
+            now_ms=self._now_ms,
+            timing=self._timing,
+            metrics=self._metrics,
+            on_skipped=on_skipped,
+        )
+        self._replicas[name] = replica
+        return replica
+
+    def handlers(self):
+        """Return the link handlers of the control role."""
+        return group_handlers(self._replicas)
+
+    def start(self):
+        """Take part in the groups, as soon as the incarnation is known."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self):
+        """Hand leadership over, leave the groups and free the folder."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        for replica in self._replicas.values():
+            replica.stop()
+        self._resources.close()
+
+    def propose(self, envelope, timeout_ms=PROPOSE_TIMEOUT_MS):
+        """
+        Have a command accepted, resending it until there is an outcome.
+
+        :return: :class:`Outcome`.
+        :raises Unavailable: its outcome is unknown, or no leader was found.
+        """
+        if not envelope.issued_at_ms:
+            envelope = msgspec.structs.replace(
+                envelope, issued_at_ms=wall_ms()
+            )
+        payload = _encode(envelope)
+        deadline_ms = self._now_ms() + timeout_ms
+        while True:
+            left_ms = deadline_ms - self._now_ms()
+            try:
+                data = self.config.propose(payload, max(left_ms, 1))
+                return _decode_outcome(data)
+            except Unavailable:
+                if left_ms <= RETRY_MS:
+                    raise
+            gevent.sleep(RETRY_MS / 1000)
+
+    def history(self, limit=100):
+        """Return the latest changes by operators, newest first."""
+        return self._machine.history(limit)
+
+    def status(self):
+        """Return a :class:`HostStatus`."""
+        return HostStatus(
+            self.settings.name,
+            self.settings.data_centre,
+            self.incarnation,
+            self.view.state.revision,
+            tuple(map(_group_status, self._replicas.values())),
+        )
+
+    def _run(self):
+        folder = self.settings.data_folder
+        self.incarnation = stored_incarnation(folder) or choose_incarnation(
+            folder,
+            [
+                name
+                for name, _ in self.settings.control_hosts
+                if name != self.settings.name
+            ],
+            list(self._replicas),
+            self._send,
+            self.settings.bootstrap,
+        )
+        founders = ()
+        if self.incarnation == FOUNDING:
+            founders = tuple(
+                Member(name, address)
+                for name, address in self.settings.control_hosts
+            )
+        for replica in self._replicas.values():
+            replica.start(self.incarnation, founders)
+
+    def _address(self, name):
+        for replica in self._replicas.values():
+            member = replica.membership.get(name)
+            if member is not None:
+                return member.address
+        for known, address in self.settings.control_hosts:
+            if known == name:
+                return address
+        raise Unavailable(f'the address of control host {name} is unknown')
+
+    def _send(self, name, message, timeout_ms):
+        address = self._address(name)
+        link = self._pool.get(address)
+        try:
+            return link.request(message, timeout_ms)
+        except LinkTimeout:
+            if link.silent_ms() > SILENT_LINK_MS:
+                self._pool.forget(address)
+            raise
+
+
+def _group_status(replica):
+    age_ms = replica.confirmed_age_ms()
+    return GroupStatus(
+        replica.group,
+        replica.role,
+        replica.leader,
+        replica.term,
+        replica.journal.last_index,
+        replica.commit_index,
+        replica.applied_index,
+        replica.journal.snapshot.index,
+        age_ms if age_ms < float('inf') else None,
+        replica.membership.current,
+    )
--- /dev/null
+++ b/damasklanding/control/members.py
@@ -0,0 +1,129 @@
+"""
+damasklanding.control.members
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The membership of a replication group and its quorums.  A change of members
+needs a quorum of the members before it and of those after it.
+"""
+
+import msgspec
+
+__all__ = [
+    'FOUNDING',
+    'Member',
+    'Membership',
+    'decode_members',
+    'encode_members',
+    'quorum_reached',
+    'quorum_value',
+]
+
+#: Incarnation of the data folders that found a fleet.
+FOUNDING = 'founding'
+
+
+class Member(msgspec.Struct, array_like=True, frozen=True):
+    """
+    One replica of a group.
+
+    :ivar incarnation: of the data folder whose votes and acknowledgements
+        count; empty where none does yet.
+    :ivar voter: False for a learner, which is caught up but never counted.
+    """
+
+    name: str
+    address: str
+    incarnation: str = FOUNDING
+    voter: bool = True
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(tuple[Member, ...])
+
+
+def encode_members(members):
+    """Encode a tuple of members to bytes."""
+    return _encoder.encode(members)
+
+
+def decode_members(data):
+    """Decode a tuple of members, the empty one from no bytes."""
+    return _decoder.decode(data) if data else ()
+
+
+def quorum_value(members, values):
+    """
+    Return the highest value that a quorum of the voters has reached.
+
+    :param values: function of a member; the lowest for one that does not
+        count.
+    """
+    reached = sorted(values(member) for member in members if member.voter)
+    return reached[(len(reached) - 1) // 2]
+
+
+def quorum_reached(members, granted):
+    """Return whether a quorum of the voters satisfies a function."""
+    voters = [member for member in members if member.voter]
+    return sum(map(granted, voters)) > len(voters) // 2
+
+
+class Membership:
+    """
+    The members by log index, as far as the log is known here.
+
+    :ivar current: members in force since the latest change, committed or
+        not.
+    """
+
+    def __init__(self, index, members):
+        self._changes = [(index, members)]
+        self._settled = index
+
+    @property
+    def current(self):
+        """Return the latest members."""
+        return self._changes[-1][1]
+
+    @property
+    def changed_at(self):
+        """Return the index of the latest change."""
+        return self._changes[-1][0]
+
+    def change(self, index, members):
+        """Note the members that an entry of the log sets."""
+        self.truncate(index)
+        self._changes.append((index, members))
+
+    def truncate(self, index):
+        """Forget the changes at and after an index."""
+        while len(self._changes) > 1 and self._changes[-1][0] >= index:
+            self._changes.pop()
+
+    def settle(self, index):
+        """Note that the change at an index is known to be committed."""
+        self._settled = max(self._settled, index)
+        while len(self._changes) > 1 and self._changes[1][0] <= index:
+            self._changes.pop(0)
+
+    def is_settled(self):
+        """Return whether the latest change is known to be committed."""
+        return self._settled >= self.changed_at
+
+    def electorates(self):
+        """Return each set of members whose quorum is needed now."""
+        if self.is_settled() or len(self._changes) == 1:
+            return (self.current,)
+        return (self._changes[-2][1], self.current)
+
+    def at(self, index):
+        """Return the members in force after an index."""
+        known = [m for start, m in self._changes if start <= index]
+        return known[-1]
+
+    def get(self, name):
+        """Return the member of a name, None without one."""
+        for member in self.current:
+            if member.name == name:
+                return member
+        return None
--- /dev/null
+++ b/damasklanding/control/replication.py
@@ -0,0 +1,306 @@
+"""
+damasklanding.control.replication
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What a leader does during its term: one greenlet for each peer sends it
+entries, another its heartbeats, so that neither a slow disk nor a large
+transfer delays the proof that the leader still leads.
+"""
+
+import gevent
+from gevent.event import Event
+
+from damasklanding.control.members import encode_members
+from damasklanding.control.members import quorum_value
+from damasklanding.control.snapshots import send_snapshot
+from damasklanding.errors import DamasklandingError
+from damasklanding.wire import AppendRequest
+
+__all__ = ['Leadership', 'Progress']
+
+MAX_ENTRIES = 1_024
+MAX_BATCH_BYTES = 1_048_576
+RETRY_MS = 50
+
+_NEVER = float('-inf')
+
+
+class Progress:
+    """
+    How far one peer's log is known to agree with the leader's.
+
+    :ivar incarnation: of the data folder that the peer last reported.
+    :ivar acknowledged_ms: when the latest request that the peer has
+        answered in this term was sent.
+    """
+
+    def __init__(self, name, next_index):
+        self.name = name
+        self.next_index = next_index
+        self.match_index = 0
+        self.commit_sent = 0
+        self.incarnation = ''
+        self.acknowledged_ms = _NEVER
+        self.news = Event()
+        self.greenlets = []
+
+
+class Leadership:
+    """
+    One term of one leader.
+
+    :ivar first_index: index of the first entry of the term; the state is
+        known to be complete only once it is applied.
+    """
+
+    def __init__(self, replica):
+        self.replica = replica
+        self.journal = replica.journal
+        self.term = replica.term
+        self.started_ms = replica.now_ms()
+        self.first_index = replica.journal.last_index + 1
+        self.peers = {}
+        self._appended = Event()
+        self._syncer = None
+        self._seq = 0
+
+    def start(self):
+        """Append the first entry of the term and start to replicate."""
+        membership = self.replica.membership
+        if membership.changed_at == 0:
+            self.append('members', encode_members(membership.current))
+        else:
+            self.append('noop', b'')
+        self._syncer = gevent.spawn(self._sync_loop)
+        self.follow_members()
+
+    def stop(self):
+        """End the term; replies that still come are ignored."""
+        for name in list(self.peers):
+            self._drop(name)
+        if self._syncer is not gevent.getcurrent():
+            self._syncer.kill(block=False)
+
+    def is_over(self):
+        """Return whether this term of leadership has ended."""
+        return self.replica.leadership is not self
+
+    def append(self, kind, payload):
+        """Append an entry of this term and return its index."""
+        index = self.replica.append_own(kind, payload)
+        self._appended.set()
+        for peer in self.peers.values():
+            peer.news.set()
+        return index
+
+    def follow_members(self):
+        """Start greenlets for new members and stop those of removed ones."""
+        names = {
+            member.name
+            for members in self.replica.membership.electorates()
+            for member in members
+        }
+        names.discard(self.replica.name)
+        for name in set(self.peers) - names:
+            self._drop(name)
+        for name in sorted(names - set(self.peers)):
+            self._add(name)
+
+    def confirmed_ms(self):
+        """Return when the latest quorum-acknowledged heartbeat was sent."""
+        return min(
+            quorum_value(members, self._acknowledged_ms)
+            for members in self.replica.membership.electorates()
+        )
+
+    def check_quorum(self):
+        """Step down where a quorum has been silent for too long."""
+        heard_ms = max(self.confirmed_ms(), self.started_ms)
+        silent_ms = self.replica.now_ms() - heard_ms
+        if silent_ms > self.replica.timing.election_max_ms:
+            self.replica.step_down('no quorum answers')
+
+    def advance_commit(self):
+        """Commit what a quorum has made durable in this term."""
+        if self.is_over():
+            return
+        index = min(
+            quorum_value(members, self._match_index)
+            for members in self.replica.membership.electorates()
+        )
+        if index <= self.replica.commit_index:
+            return
+        if self.journal.term_at(index) != self.term:
+            return
+        self.replica.commit(index)
+        for peer in self.peers.values():
+            peer.news.set()
+
+    def most_caught_up(self):
+        """Return the voter whose log is the longest, None without one."""
+        voters = [
+            self.peers[member.name]
+            for member in self.replica.membership.current
+            if member.name in self.peers
+            and member.voter
+            and self.peers[member.name].incarnation == member.incarnation
+        ]
+        return max(voters, key=lambda p: p.match_index, default=None)
+
+    def hand_over(self):
+        """Tell the most caught-up voter to call an election at once."""
+        peer = self.most_caught_up()
+        if peer is None:
+            return
+        request = self._request(peer.match_index, [])
+        request.campaign = True
+        try:
+            self.replica.send(
+                peer.name, request, self.replica.timing.election_min_ms
+            )
+        except DamasklandingError:
+            pass
+
+    def _add(self, name):
+        peer = Progress(name, self.first_index)
+        self.peers[name] = peer
+        peer.news.set()
+        peer.greenlets = [
+            gevent.spawn(self._replicate_loop, peer),
+            gevent.spawn(self._heartbeat_loop, peer),
+        ]
+
+    def _drop(self, name):
+        peer = self.peers.pop(name)
+        current = gevent.getcurrent()
+        for greenlet in peer.greenlets:
+            if greenlet is not current:
+                greenlet.kill(block=False)
+
+    def _counted(self, member):
+        peer = self.peers.get(member.name)
+        if peer is None or peer.incarnation != member.incarnation:
+            return None
+        return peer
+
+    def _match_index(self, member):
+        if member.name == self.replica.name:
+            return self.journal.durable_index
+        peer = self._counted(member)
+        return peer.match_index if peer else 0
+
+    def _acknowledged_ms(self, member):
+        if member.name == self.replica.name:
+            return self.replica.now_ms()
+        peer = self._counted(member)
+        return peer.acknowledged_ms if peer else _NEVER
+
+    def _sync_loop(self):
+        while not self.is_over():
+            self._appended.wait()
+            self._appended.clear()
+            try:
+                self.journal.sync()
+            except DamasklandingError as error:
+                self.replica.step_down(str(error))
+                return
+            self.advance_commit()
+
+    def _request(self, previous_index, entries):
+        self._seq += 1
+        previous_term = self.journal.term_at(previous_index)
+        if previous_term is None:
+            previous_index = previous_term = 0
+        return AppendRequest(
+            self.replica.group,
+            self.term,
+            self.replica.name,
+            previous_index,
+            previous_term,
+            entries,
+            self.replica.commit_index,
+            self._seq,
+        )
+
+    def _heartbeat_loop(self, peer):
+        timing = self.replica.timing
+        while not self.is_over():
+            self._exchange(
+                peer,
+                self._request(peer.match_index, []),
+                timing.election_min_ms,
+            )
+            gevent.sleep(timing.heartbeat_ms / 1000)
+
+    def _replicate_loop(self, peer):
+        while not self.is_over():
+            peer.news.wait()
+            peer.news.clear()
+            while not self.is_over() and self._has_news(peer):
+                if not self._send_entries(peer):
+                    gevent.sleep(RETRY_MS / 1000)
+
+    def _has_news(self, peer):
+        return (
+            peer.next_index <= self.journal.last_index
+            or peer.commit_sent < self.replica.commit_index
+        )
+
+    def _send_entries(self, peer):
+        previous_index = peer.next_index - 1
+        if previous_index < self.journal.base_index:
+            return send_snapshot(self, peer)
+        entries = self.journal.entries_from(
+            peer.next_index, MAX_ENTRIES, MAX_BATCH_BYTES
+        )
+        request = self._request(previous_index, entries)
+        reply = self._exchange(
+            peer, request, self.replica.timing.request_timeout_ms
+        )
+        if reply is None:
+            return False
+        if not reply.success:
+            peer.next_index = max(
+                1, min(reply.match_index + 1, peer.next_index - 1)
+            )
+            return True
+        peer.match_index = max(peer.match_index, reply.match_index)
+        peer.next_index = peer.match_index + 1
+        peer.commit_sent = min(request.commit_index, peer.match_index)
+        self.advance_commit()
+        return True
+
+    def _exchange(self, peer, request, timeout_ms):
+        """Send a request; None where its answer does not count."""
+        sent_ms = self.replica.now_ms()
+        try:
+            reply = self.replica.send(peer.name, request, timeout_ms)
+        except DamasklandingError:
+            return None
+        return reply if self.accept(peer, reply, sent_ms) else None
+
+    def accept(self, peer, reply, sent_ms):
+        """
+        Note who answered a request of this term.
+
+        :return: whether the answer is from the same data folder as the
+            ones before it and of this term.
+        """
+        if self.is_over() or self.peers.get(peer.name) is not peer:
+            return False
+        if reply.term > self.term:
+            self.replica.observe_term(reply.term)
+            return False
+        if reply.term < self.term:
+            return False
+        if reply.incarnation != peer.incarnation:
+            known = bool(peer.incarnation)
+            peer.incarnation = reply.incarnation
+            peer.acknowledged_ms = _NEVER
+            peer.match_index = 0
+            peer.commit_sent = 0
+            if known:
+                peer.next_index = self.first_index
+                return False
+        peer.acknowledged_ms = max(peer.acknowledged_ms, sent_ms)
+        return True
--- a/damasklanding/fleet/commands.py
+++ b/damasklanding/fleet/commands.py
@@ -140,12 +140,14 @@
     :ivar operator: who asked; names the winner of a race.
     :ivar expected_revision: the resource's revision as the operator saw it,
         0 for a resource that must not exist yet, None for any.
+    :ivar issued_at_ms: wall clock, for the history only.
     """
 
     request_id: str
     operator: str
     command: AnyCommand
     expected_revision: int | None = None
+    issued_at_ms: int = 0
 
 
 class Outcome(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- /dev/null
+++ b/damasklanding/fleet/controlhosts.py
@@ -0,0 +1,23 @@
+"""
+damasklanding.fleet.controlhosts
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Rules of the control hosts' addresses, as nodes and operators learn them.
+"""
+
+from damasklanding.fleet.changes import existing
+from damasklanding.fleet.changes import put
+from damasklanding.fleet.changes import remove
+
+__all__ = ['delete_control_host', 'put_control_host']
+
+
+def put_control_host(state, command, revision):
+    """Write the addresses of a control host."""
+    return put(state, 'control_host', command.control_host, revision)
+
+
+def delete_control_host(state, name):
+    """Remove a control host from the list."""
+    existing(state, 'control_host', name)
+    return remove('control_host', name)
--- /dev/null
+++ b/damasklanding/fleet/rules.py
@@ -0,0 +1,101 @@
+"""
+damasklanding.fleet.rules
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Which rule carries out which command, and which resource it is about.
+"""
+
+from damasklanding.errors import BadInput
+from damasklanding.fleet.backends import expire_backends
+from damasklanding.fleet.backends import hold_backend
+from damasklanding.fleet.backends import register_backend
+from damasklanding.fleet.commands import DeleteResource
+from damasklanding.fleet.commands import ExpireBackends
+from damasklanding.fleet.commands import GrantKey
+from damasklanding.fleet.commands import HoldBackend
+from damasklanding.fleet.commands import PutControlHost
+from damasklanding.fleet.commands import PutOrganisation
+from damasklanding.fleet.commands import PutProfile
+from damasklanding.fleet.commands import PutService
+from damasklanding.fleet.commands import RegisterBackend
+from damasklanding.fleet.commands import SetDataCentre
+from damasklanding.fleet.commands import WithdrawKey
+from damasklanding.fleet.controlhosts import delete_control_host
+from damasklanding.fleet.controlhosts import put_control_host
+from damasklanding.fleet.datacentres import delete_data_centre
+from damasklanding.fleet.datacentres import set_data_centre
+from damasklanding.fleet.organisations import delete_organisation
+from damasklanding.fleet.organisations import grant_key
+from damasklanding.fleet.organisations import put_organisation
+from damasklanding.fleet.organisations import withdraw_key
+from damasklanding.fleet.profiles import delete_profile
+from damasklanding.fleet.profiles import put_profile
+from damasklanding.fleet.services import delete_service
+from damasklanding.fleet.services import put_service
+
+__all__ = ['changes_of', 'is_membership', 'target_of']
+
+_DELETIONS = {
+    'profile': delete_profile,
+    'service': delete_service,
+    'organisation': delete_organisation,
+    'data_centre': delete_data_centre,
+    'control_host': delete_control_host,
+}
+
+
+def _delete(state, command, _revision):
+    rule = _DELETIONS.get(command.kind)
+    if rule is None:
+        raise BadInput(
+            f'a {command.kind} can not be deleted',
+            f'give one of {", ".join(_DELETIONS)}',
+        )
+    return rule(state, command.name)
+
+
+#: Rule and target resource by command.
+_RULES = {
+    PutProfile: (put_profile, lambda c: ('profile', c.profile.name)),
+    PutService: (put_service, lambda c: ('service', c.service.name)),
+    PutOrganisation: (
+        put_organisation,
+        lambda c: ('organisation', c.organisation.name),
+    ),
+    GrantKey: (grant_key, lambda c: ('organisation', c.organisation)),
+    WithdrawKey: (withdraw_key, lambda c: ('organisation', c.organisation)),
+    SetDataCentre: (set_data_centre, lambda c: ('data_centre', c.name)),
+    HoldBackend: (hold_backend, lambda c: ('backend', c.name)),
+    RegisterBackend: (register_backend, lambda c: ('backend', c.backend.name)),
+    ExpireBackends: (expire_backends, lambda c: ('backend', '')),
+    PutControlHost: (
+        put_control_host,
+        lambda c: ('control_host', c.control_host.name),
+    ),
+    DeleteResource: (_delete, lambda c: (c.kind, c.name)),
+}
+
+_MEMBERSHIP = (RegisterBackend, ExpireBackends)
+
+
+def changes_of(state, command, revision):
+    """
+    Validate a command against the state.
+
+    :return: list of :class:`~damasklanding.fleet.resources.Change`.
+    :raises BadInput: the command breaks a rule.
+    :raises NotFound: it names what does not exist.
+    """
+    rule, _ = _RULES[type(command)]
+    return rule(state, command, revision)
+
+
+def target_of(command):
+    """Return kind and name of the resource that a command is about."""
+    _, target = _RULES[type(command)]
+    return target(command)
+
+
+def is_membership(command):
+    """Return whether nodes, not operators, send a command."""
+    return isinstance(command, _MEMBERSHIP)
--- a/damasklanding/messages.capnp
+++ b/damasklanding/messages.capnp
@@ -131,6 +131,7 @@
   lastTerm @4 :UInt64;
   preVote @5 :Bool;
   incarnation @6 :Text;
+  transfer @7 :Bool;        # the leader itself asked for this election
 }
 
 struct VoteReply {
@@ -149,6 +150,7 @@
   commitIndex @6 :UInt64;
   seq @7 :UInt64;
   confirmedAgeMs @8 :UInt32;
+  campaign @9 :Bool;        # the leader hands over: start an election
 }
 
 struct AppendReply {
--- a/damasklanding/wire.py
+++ b/damasklanding/wire.py
@@ -181,7 +181,11 @@
 
 @message('voteRequest')
 class VoteRequest:
-    """A candidate's request for a vote or, before it, a pre-vote."""
+    """
+    A candidate's request for a vote or, before it, a pre-vote.
+
+    :ivar transfer: the leader itself asked for this election.
+    """
 
     group: str
     term: int
@@ -190,6 +194,7 @@
     last_term: int
     pre_vote: bool
     incarnation: str
+    transfer: bool = False
 
 
 @message('voteReply')
@@ -218,6 +223,7 @@
 
     :ivar confirmed_age_ms: time since the latest heartbeat that a quorum
         has acknowledged was sent.
+    :ivar campaign: the leader hands over; the receiver calls an election.
     """
 
     group: str
@@ -229,6 +235,7 @@
     commit_index: int = 0
     seq: int = 0
     confirmed_age_ms: int = 0
+    campaign: bool = False
 
 
 @message('appendReply')
--- /dev/null
+++ b/tests/control_cluster.py
@@ -0,0 +1,142 @@
+"""
+control_cluster
+~~~~~~~~~~~~~~~
+
+Control hosts on loopback links in one process, for tests.
+"""
+
+from contextlib import contextmanager
+import os
+
+import gevent
+import msgspec
+
+from damasklanding.control.client import ControlClient
+from damasklanding.control.host import ControlHost
+from damasklanding.control.replica import Timing
+from damasklanding.fleet.commands import Envelope
+from damasklanding.fleet.commands import Outcome
+from damasklanding.link import Identity
+from damasklanding.link import LinkServer
+from damasklanding.links import LinkPool
+from damasklanding.settings import Settings
+
+SECRET = b'0123456789abcdef'
+FAST = Timing(heartbeat_ms=20, election_min_ms=150, election_max_ms=300)
+
+
+def eventually(condition, timeout_s=10):
+    with gevent.Timeout(timeout_s):
+        while not condition():
+            gevent.sleep(0.005)
+
+
+def envelope(command, request_id, operator='mia', expected=None):
+    return Envelope(
+        request_id=request_id,
+        operator=operator,
+        command=command,
+        expected_revision=expected,
+    )
+
+
+class Cluster:
+    """Starts, cuts off and wipes control hosts by name."""
+
+    def __init__(self, folder, names, timing=FAST):
+        self.folder = folder
+        self.timing = timing
+        self.hosts = {}
+        self._servers = {name: self._listen(name) for name in names}
+        self.addresses = tuple(
+            (name, server.address) for name, server in self._servers.items()
+        )
+        self._pools = {}
+
+    def _listen(self, name, address='127.0.0.1:0'):
+        identity = Identity(name, 'control', os.urandom(4).hex())
+        server = LinkServer(address, identity, SECRET, {})
+        server._server.init_socket()
+        return server
+
+    def folder_of(self, name):
+        return os.path.join(self.folder, name)
+
+    def start(self, name, bootstrap=True):
+        server = self._servers.get(name)
+        if server is None:
+            server = self._listen(name, dict(self.addresses)[name])
+            self._servers[name] = server
+        settings = Settings(
+            name=name,
+            roles=('control',),
+            data_centre='kushiro',
+            peer_address=server.address,
+            secret=SECRET,
+            control_hosts=self.addresses,
+            data_folder=self.folder_of(name),
+            bootstrap=bootstrap,
+        )
+        identity = Identity(name, 'control', os.urandom(4).hex())
+        pool = LinkPool(identity, SECRET)
+        host = ControlHost(settings, identity, pool, timing=self.timing)
+        server._handlers.update(host.handlers())
+        server.start()
+        self._pools[name] = pool
+        self.hosts[name] = host
+        host.start()
+        return host
+
+    def start_all(self):
+        for name, _ in self.addresses:
+            self.start(name)
+        return self.leader()
+
+    def stop(self, name):
+        self.hosts.pop(name).stop()
+        self._servers.pop(name).stop()
+        self._pools.pop(name).close()
+
+    def leader(self):
+        eventually(lambda: self._leader() is not None)
+        return self._leader()
+
+    def _leader(self):
+        for host in self.hosts.values():
+            if host.config.confirmed_age_ms() < self.timing.election_min_ms:
+                return host
+        return None
+
+    def client(self):
+        identity = Identity('test', 'tool', 'i')
+        return ControlClient(LinkPool(identity, SECRET), self.addresses)
+
+    def settled(self):
+        """Wait until all hosts have applied the same entries."""
+
+        def same():
+            indexes = {h.config.applied_index for h in self.hosts.values()}
+            last = self.leader().config.journal.last_index
+            return indexes == {last}
+
+        eventually(same)
+
+    def close(self):
+        for name in list(self.hosts):
+            self.stop(name)
+        for server in self._servers.values():
+            server.stop()
+
+
+@contextmanager
+def cluster(folder, count=3, timing=FAST):
+    made = Cluster(str(folder), [f'c{n}' for n in range(1, count + 1)], timing)
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+def propose(client, sent, timeout_ms=5_000):
+    data = client.propose('config', msgspec.msgpack.encode(sent), timeout_ms)
+    return msgspec.msgpack.decode(data, type=Outcome)
