Build the operators' tool over the administration client

A follower answers a write once it can read it, so two puts in a row don't conflict.

Twenty-four cases run the tool against two served control hosts, among them a dead first address, a resend, a restarted instance and a lagging node.

--- a/damasklanding/adminclient.py
+++ b/damasklanding/adminclient.py
@@ -23,7 +23,13 @@
 from damasklanding.errors import error_from_code
 from damasklanding.options import split_address
 
-__all__ = ['AdminClient', 'HostReply', 'parse_addresses', 'path_of']
+__all__ = [
+    'AdminClient',
+    'HostReply',
+    'answered',
+    'parse_addresses',
+    'path_of',
+]
 
 CONNECT_TIMEOUT_MS = 1_000
 READ_TIMEOUT_MS = 10_000
@@ -202,6 +208,22 @@
         return pool
 
 
+def answered(replies):
+    """
+    Return the replies that are no errors.
+
+    :raises DamasklandingError: the most telling error, where all failed.
+    """
+    good = [reply for reply in replies if reply.error is None]
+    if good:
+        return good
+    errors = [reply.error for reply in replies]
+    for error in errors:
+        if not isinstance(error, Unavailable):
+            raise error
+    raise _all_failed(dict(enumerate(errors)))
+
+
 def _decode_json(data):
     try:
         return msgspec.json.decode(data)
--- /dev/null
+++ b/damasklanding/commands/__init__.py
@@ -0,0 +1,6 @@
+"""
+damasklanding.commands
+~~~~~~~~~~~~~~~~~~~~~~
+
+Commands of the operators' tool, one module a subject.
+"""
--- a/damasklanding/control/admin.py
+++ b/damasklanding/control/admin.py
@@ -10,12 +10,15 @@
 import functools
 
 import bottle
+import gevent
 import msgspec
 
+from damasklanding.clock import monotonic_ms
 from damasklanding.documents import DOCUMENTS
 from damasklanding.documents import MAX_DOCUMENT_BYTES
 from damasklanding.documents import KeyDocument
 from damasklanding.documents import decode_document
+from damasklanding.documents import plain_values
 from damasklanding.documents import resource_from
 from damasklanding.documents import resource_view
 from damasklanding.errors import BadInput
@@ -47,6 +50,8 @@
 
 FRESH_LIMIT_MS = 5_000
 MAX_HISTORY = 1_000
+POLL_MS = 5
+READ_OWN_WRITE_MS = 2_000
 
 #: Path segment by kind of resource.
 COLLECTIONS = {
@@ -236,7 +241,7 @@
         loads = telemetry.loads() if telemetry else {}
         return _answer(
             host,
-            control_host=host.status(),
+            control_host=plain_values(host.status()),
             loads=loads,
             data_centres_out=[
                 item.name
@@ -247,7 +252,7 @@
 
     def history(operator):
         limit = whole_number('limit', 50, MAX_HISTORY)
-        return _answer(host, items=host.history(limit))
+        return _answer(host, items=plain_values(host.history(limit)))
 
     def watchers(operator):
         revision = whole_number('revision', host.view.state.revision, 1 << 63)
@@ -290,10 +295,18 @@
     )
     if outcome.error:
         raise _failure(outcome)
+    _await_revision(host.view, outcome.revision)
     bottle.response.set_header('ETag', f'"{outcome.revision}"')
     return Written(outcome.revision, resend_id, operator)
 
 
+def _await_revision(view, revision):
+    """Let the next read here see the change, also on a follower."""
+    until_ms = monotonic_ms() + READ_OWN_WRITE_MS
+    while view.state.revision < revision and monotonic_ms() < until_ms:
+        gevent.sleep(POLL_MS / 1000)
+
+
 def _failure(outcome):
     error = error_from_code(outcome.error, outcome.problem)
     if isinstance(error, Conflict):
--- a/damasklanding/documents.py
+++ b/damasklanding/documents.py
@@ -29,6 +29,7 @@
     'KeyDocument',
     'decode_configuration',
     'decode_document',
+    'plain_values',
     'resource_from',
     'resource_view',
 ]
@@ -171,14 +172,17 @@
 
     Defaults are written out, and of each key only its handle is shown.
     """
-    view = {
-        field: msgspec.to_builtins(value)
-        for field, value in msgspec.structs.asdict(resource).items()
-    }
+    view = plain_values(resource)
     if 'keys' in view:
         view['keys'] = [key['key_id'] for key in view['keys']]
-    if 'routes' in view:
-        view['routes'] = [
-            msgspec.structs.asdict(route) for route in resource.routes
-        ]
     return view
+
+
+def plain_values(value):
+    """Return structs, also nested ones, as dicts with all their fields."""
+    if isinstance(value, msgspec.Struct):
+        fields = msgspec.structs.asdict(value)
+        return {name: plain_values(item) for name, item in fields.items()}
+    if isinstance(value, list | tuple):
+        return [plain_values(item) for item in value]
+    return value
--- a/damasklanding/errors.py
+++ b/damasklanding/errors.py
@@ -25,6 +25,7 @@
     'LinkTimeout',
     'NotFound',
     'NotImplementedHere',
+    'NotInForce',
     'NotLeader',
     'Overloaded',
     'OverRate',
@@ -168,6 +169,18 @@
     remedy = 'try another control host'
 
 
+class NotInForce(DamasklandingError):
+    """An accepted change that some processes have not applied in time."""
+
+    code = 'not-in-force'
+    http_status = 504
+    exit_status = 8
+    remedy = (
+        'it stays accepted; check the named processes, which refuse keyed '
+        'requests once they can prove no fresh state'
+    )
+
+
 class StaleState(Unavailable):
     """The node can't prove that its configuration is current."""
 
--- a/damasklanding/telemetry.py
+++ b/damasklanding/telemetry.py
@@ -74,8 +74,8 @@
         self._now_ms = now_ms
         self._loads = {}
 
-    def receive(self, node, status):
-        """Take the status of a node's heartbeat."""
+    def receive(self, node, _instance, status):
+        """Take the status that a node's heartbeat carried."""
         if not status:
             return
         try:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -2,10 +2,12 @@
 import json
 from urllib.parse import urlsplit
 
+import gevent
 import msgspec
 import pytest
 
 from damasklanding.burn import BurnRecorder
+from damasklanding.fleet.commands import Outcome
 from damasklanding.fleet.resources import Backend
 from damasklanding.fleet.resources import DataCentre
 from damasklanding.policy.work import LoadReport
@@ -246,7 +248,7 @@
     app, host, _, telemetry = made
     host.put('data_centre', DataCentre(name='obihiro', out=True))
     load = LoadReport(service='plan-office', limit=4, cold=True)
-    telemetry.receive('n1', NodeTelemetry(lambda: load).take())
+    telemetry.receive('n1', 'i', NodeTelemetry(lambda: load).take())
     status = call(app, 'GET', '/v1/status').json
     assert status['control_host']['name'] == 'c1'
     assert status['loads']['n1']['cold'] is True
@@ -287,5 +289,19 @@
     assert again.status == 200
 
 
+def test_follower_answers_a_write_once_it_can_read_it(made):
+    app, host, _, _ = made
+    written = []
+    host.propose = lambda envelope: Outcome(revision=1)
+    job = gevent.spawn(
+        lambda: written.append(call(app, 'PUT', '/v1/profiles/p', {}))
+    )
+    gevent.sleep(0.05)
+    assert written == []
+    host.view.apply(1, 1, [])
+    job.join(2)
+    assert written[0].status == 200
+
+
 def test_problem_of_every_kind_is_encodable(made):
     assert msgspec.json.decode(call(made[0], 'GET', '/x').body)['remedy']
--- /dev/null
+++ b/tests/test_cmdline.py
@@ -0,0 +1,247 @@
+from contextlib import ExitStack
+import hashlib
+import json
+
+from click.testing import CliRunner
+from gevent.threadpool import ThreadPool
+import pytest
+
+from damasklanding.cmdline import tool_group
+from damasklanding.fleet.resources import Backend
+from damasklanding.fleet.resources import Organisation
+from tests.fakes_admin import FakeHost
+from tests.fakes_admin import Watcher
+from tests.fakes_admin import make_app
+from tests.fakes_admin import served
+
+CLOSED = '127.0.0.1:9'
+
+
+class Fleet:
+    """Runs the tool in a thread while gevent serves the hosts."""
+
+    def __init__(self, hosts, addresses, tokens):
+        self.hosts = hosts
+        self.host = hosts[0]
+        self.addresses = addresses
+        self._tokens = tokens
+        self._threads = ThreadPool(1)
+
+    def run(self, *arguments, admin=None, operator='emi'):
+        environment = {
+            'DAMASKLANDING_ADMIN': admin or ','.join(self.addresses),
+            'DAMASKLANDING_TOKEN_FILE': self._tokens,
+            'DAMASKLANDING_OPERATOR': operator,
+        }
+        return self._threads.apply(
+            CliRunner().invoke,
+            (tool_group(), list(arguments)),
+            {'env': environment},
+        )
+
+    def json(self, *arguments, **fields):
+        result = self.run(*arguments, '--json', **fields)
+        assert result.exit_code == 0, result.output
+        return json.loads(result.stdout)
+
+
+@pytest.fixture()
+def fleet(tmp_path):
+    hosts = [FakeHost('c1'), FakeHost('c2')]
+    with ExitStack() as stack:
+        addresses = [
+            stack.enter_context(served(make_app(tmp_path, host)[0]))
+            for host in hosts
+        ]
+        yield Fleet(hosts, addresses, str(tmp_path / 'tokens'))
+
+
+def register(fleet, *names):
+    for host in fleet.hosts:
+        for name in names:
+            host.put(
+                'backend',
+                Backend(
+                    name=name,
+                    instance='i',
+                    data_centre='kushiro',
+                    peer_address='127.0.0.1:7401',
+                    service='plan-office',
+                ),
+            )
+
+
+def test_put_keeps_fields_that_no_flag_names(fleet):
+    put = ('profile', 'put', 'bookings')
+    assert fleet.run(*put, '--importance', '3').exit_code == 0
+    result = fleet.run(*put, '--no-idempotent', '--weight', '2')
+    assert 'profile bookings changed, revision 2' in result.stdout
+    profile = fleet.host.view.state.get('profile', 'bookings')
+    assert (profile.importance, profile.idempotent) == (3, False)
+    assert 'bookings' in fleet.run('profile', 'list').stdout
+    assert fleet.json('profile', 'get', 'bookings')['weight'] == 2
+
+
+def test_service_routes_from_flags(fleet):
+    result = fleet.run(
+        'service',
+        'put',
+        'plan-office',
+        '--route',
+        '/plans=bookings,GET+POST',
+        '--route',
+        '/lookup=internal-lookup,internal',
+    )
+    assert result.exit_code == 0, result.output
+    first, second = fleet.host.view.state.get('service', 'plan-office').routes
+    assert (first.methods, first.access) == (('GET', 'POST'), 'open')
+    assert (second.prefix, second.access) == ('/lookup', 'internal')
+    assert '/plans=bookings' in fleet.run('service', 'list').stdout
+
+
+def test_key_is_shown_once_and_only_its_digest_is_sent(fleet, tmp_path):
+    fleet.run(
+        'organisation',
+        'put',
+        'lender-1',
+        '--rate-per-s',
+        '50',
+        '--burst-requests',
+        '100',
+    )
+    granted = fleet.json('key', 'grant', 'lender-1', '--key-id', 'k1')
+    digest = hashlib.sha256(granted['key'].encode()).hexdigest()
+    assert fleet.host.view.has_key(digest)
+    assert granted['key'] not in repr(fleet.host.envelopes)
+    assert fleet.run('key', 'list', 'lender-1').stdout == 'k1\n'
+    kept = fleet.run('organisation', 'put', 'lender-1', '--weight', '3')
+    assert kept.exit_code == 0
+    assert fleet.host.view.has_key(digest)
+    assert fleet.run('key', 'withdraw', 'lender-1', 'k1').exit_code == 0
+    assert not fleet.host.view.has_key(digest)
+    path = tmp_path / 'key'
+    hidden = fleet.run('key', 'grant', 'lender-1', '--output', str(path))
+    assert path.read_text().strip() not in hidden.output
+    assert path.stat().st_mode & 0o777 == 0o600
+    again = fleet.run('key', 'grant', 'lender-1', '--output', str(path))
+    assert again.exit_code == 2
+
+
+EXITS = [
+    (('profile', 'get', 'nothing'), 3, 'no profile nothing'),
+    (('profile', 'put', 'Upper', '--weight', '1'), 2, 'name'),
+    (('profile', 'put', 'p', '--importance', '7'), 2, 'importance'),
+    (('profile', 'put', 'known'), 2, 'no flag says what to change'),
+    (('profile', 'put', 'known', '--weight', '2', '--expect', '9'), 4, 'emi'),
+    (('service', 'put', 's', '--route', '/x'), 2, 'has no profile'),
+    (('data-centre', 'out', 'nowhere'), 3, 'nowhere'),
+    (('status', '--token', 'wrong-token-01234567'), 5, 'token'),
+    (('status', '--admin', CLOSED, '--timeout', '1'), 6, 'no control host'),
+    (('profile', 'list', '--admin', 'localhost:1'), 2, '--admin'),
+    (('profile', 'list', '--token-file', '/nonexistent'), 2, '--token-file'),
+    (('profile', 'list', '--operator', 'nobody'), 2, 'holds 0 tokens'),
+]
+
+
+@pytest.mark.parametrize(('arguments', 'status', 'shown'), EXITS)
+def test_error_gives_exit_status_and_remedy(fleet, arguments, status, shown):
+    fleet.run('profile', 'put', 'known', '--weight', '1')
+    result = fleet.run(*arguments)
+    assert result.exit_code == status, result.output
+    assert shown in result.output
+
+
+def test_json_error_on_standard_error(fleet):
+    result = fleet.run('profile', 'get', 'nothing', '--json')
+    assert json.loads(result.stderr)['code'] == 'not-found'
+    assert result.stdout == ''
+
+
+def test_other_control_host_takes_over_and_a_resend_applies_once(fleet):
+    second = fleet.addresses[1]
+    result = fleet.run(
+        'profile', 'put', 'p', '--weight', '2', admin=f'{CLOSED},{second}'
+    )
+    assert result.exit_code == 0, result.output
+    assert len(fleet.hosts[1].envelopes) == 1
+    resend = ('profile', 'put', 'q', '--weight', '2', '--request-id', 'r1')
+    revisions = [fleet.json(*resend)['revision'] for _ in range(2)]
+    assert revisions == [1, 1]
+    assert fleet.host.view.state.revision == 1
+
+
+def test_wait_names_those_that_lag(fleet):
+    register(fleet, 'n1', 'n2')
+    fleet.hosts[0].watching = [Watcher('n1', 'i', 9, 0)]
+    fleet.hosts[1].watching = [Watcher('n2', 'i', 2, 0)]
+    put = ('profile', 'put', 'p', '--weight', '2', '--wait')
+    fleet.hosts[1].view.apply(1, 9, [])
+    lagging = fleet.run(*put, '--wait-timeout', '0.2')
+    assert lagging.exit_code == 8
+    assert 'n2' in lagging.output
+    assert 'n1' not in lagging.stderr
+    fleet.hosts[1].watching = [Watcher('n2', 'i', 9, 0)]
+    assert fleet.run('wait', '3').exit_code == 0
+
+
+def test_restarted_instance_counts_by_its_own_revision(fleet):
+    register(fleet, 'n1')
+    fleet.hosts[0].watching = [Watcher('n1', 'earlier', 9, 0)]
+    result = fleet.run('wait', '1', '--wait-timeout', '0.1')
+    assert result.exit_code == 8
+
+
+def test_unreachable_control_host_is_named_but_does_not_fail(fleet):
+    register(fleet, 'n1')
+    fleet.host.watching = [Watcher('n1', 'i', 9, 0)]
+    admin = f'{fleet.addresses[0]},{CLOSED}'
+    result = fleet.run(
+        'profile', 'put', 'p', '--weight', '2', '--wait', admin=admin
+    )
+    assert result.exit_code == 0, result.output
+    assert f'control host at {CLOSED} did not answer' in result.stderr
+
+
+def test_backends_and_data_centres(fleet):
+    register(fleet, 'n1')
+    fleet.run('data-centre', 'put', 'kushiro', '--region', 'doto')
+    assert fleet.run('backend', 'drain', 'n1').exit_code == 0
+    assert fleet.json('backend', 'list')[0]['held_out'] is True
+    assert 'held out' in fleet.run('status').stdout
+    assert fleet.run('data-centre', 'out', 'kushiro').exit_code == 0
+    assert fleet.json('status')['data_centres_out'] == ['kushiro']
+    assert fleet.run('data-centre', 'in', 'kushiro').exit_code == 0
+    assert fleet.run('backend', 'return', 'n1').exit_code == 0
+    assert 'kushiro' in fleet.run('data-centre', 'list').stdout
+
+
+def test_watchers_and_history_and_version(fleet):
+    fleet.host.watching = [Watcher('n1', 'i', 0, 7)]
+    entry = {'revision': 1, 'issued_at_ms': 0, 'operator': 'emi'}
+    fleet.host.history = lambda limit: [entry]
+    assert fleet.json('watchers', '--revision', '1')[0]['lags'] is True
+    assert '1970-01-01T00:00:00Z' in fleet.run('history').stdout
+    assert 'damasklanding 0.' in fleet.run('version').stdout
+
+
+def test_every_command_has_help(fleet):
+    def walk(command, path):
+        yield path
+        for name, child in getattr(command, 'commands', {}).items():
+            yield from walk(child, (*path, name))
+
+    for path in walk(tool_group(), ()):
+        result = CliRunner().invoke(tool_group(), [*path, '--help'])
+        assert result.exit_code == 0
+        assert 'Usage' in result.output
+
+
+def test_organisation_needs_its_rate(fleet):
+    result = fleet.run('organisation', 'put', 'lender-1', '--weight', '2')
+    assert (result.exit_code, 'rate_per_s' in result.output) == (2, True)
+    fleet.host.put(
+        'organisation',
+        Organisation(name='lender-1', rate_per_s=1, burst_requests=1),
+    )
+    result = fleet.run('organisation', 'delete', 'lender-1')
+    assert result.exit_code == 0
