Lease registrations and prove freshness from the leader's quorum

A registration whose node is heard by no control host for 2 s is removed and its budget shards move to nodes that own the fewest. Followers pull their proof of freshness from the leader, so that a delay only makes it older. A pause of the leader, and nodes behind a silent control host, are given time.

Entries that change nothing no longer move the revision: watchers are sent real changes only and could otherwise never prove themselves current.

--- a/damasklanding/control/configuration.py
+++ b/damasklanding/control/configuration.py
@@ -76,22 +76,16 @@
         try:
             envelope = _decode_envelope(entry.payload)
         except msgspec.DecodeError as error:
-            self.skip(entry)
             return _encode(
                 Outcome(revision=0, error='bad-input', problem=str(error))
             )
         known = self._requests.get(envelope.request_id)
         if known is not None:
-            self.skip(entry)
             return known
         outcome = _encode(self._carry_out(entry, envelope))
         self._remember(envelope.request_id, outcome)
         return outcome
 
-    def skip(self, entry):
-        """Move the revision past an entry that changes nothing."""
-        self.view.apply(entry.term, entry.index, [])
-
     def history(self, limit):
         """Return the latest changes by operators, newest first."""
         return list(reversed(self._history))[:limit]
@@ -127,18 +121,16 @@
         current = known.revision if known is not None else 0
         expected = envelope.expected_revision
         if expected is not None and expected != current:
-            self.skip(entry)
             return self._conflict(kind, name, current, expected)
         try:
             changes = changes_of(state, envelope.command, entry.index)
         except DamasklandingError as error:
-            self.skip(entry)
             return Outcome(
                 revision=current, error=error.code, problem=error.problem
             )
-        self.view.apply(entry.term, entry.index, changes)
         if not changes:
             return Outcome(revision=current)
+        self.view.apply(entry.term, entry.index, changes)
         self._record(entry, envelope, kind, name)
         return Outcome(revision=entry.index)
 
--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -19,6 +19,7 @@
 from damasklanding.control.founding import stored_incarnation
 from damasklanding.control.groups import group_handlers
 from damasklanding.control.journal import Journal
+from damasklanding.control.leases import LeaseKeeper
 from damasklanding.control.members import FOUNDING
 from damasklanding.control.members import Member
 from damasklanding.control.replica import Replica
@@ -70,6 +71,7 @@
 
     :ivar view: the configuration as accepted so far.
     :ivar config: :class:`Replica` of the configuration.
+    :ivar leases: :class:`LeaseKeeper` of the nodes' registrations.
     """
 
     def __init__(
@@ -100,9 +102,10 @@
         self._resources = ExitStack()
         self._resources.enter_context(locked_folder(settings.data_folder))
         self._machine = ConfigurationMachine(self.view, metrics)
-        self.config = self.add_group(CONFIG, self._machine, self._machine.skip)
+        self.config = self.add_group(CONFIG, self._machine)
+        self.leases = LeaseKeeper(self.config, self.view, self._send)
 
-    def add_group(self, name, machine, on_skipped=None):
+    def add_group(self, name, machine):
         """
         Replicate another machine on the control hosts; before the start.
 
@@ -120,14 +123,13 @@
             now_ms=self._now_ms,
             timing=self._timing,
             metrics=self._metrics,
-            on_skipped=on_skipped,
         )
         self._replicas[name] = replica
         return replica
 
     def handlers(self):
         """Return the link handlers of the control role."""
-        return group_handlers(self._replicas)
+        return {**group_handlers(self._replicas), **self.leases.handlers()}
 
     def start(self):
         """Take part in the groups, as soon as the incarnation is known."""
@@ -137,6 +139,7 @@
         """Hand leadership over, leave the groups and free the folder."""
         if self._greenlet is not None:
             self._greenlet.kill()
+        self.leases.stop()
         for replica in self._replicas.values():
             replica.stop()
         self._resources.close()
@@ -180,13 +183,10 @@
 
     def _run(self):
         folder = self.settings.data_folder
+        others = {name for name, _ in self.settings.control_hosts}
         self.incarnation = stored_incarnation(folder) or choose_incarnation(
             folder,
-            [
-                name
-                for name, _ in self.settings.control_hosts
-                if name != self.settings.name
-            ],
+            sorted(others - {self.settings.name}),
             list(self._replicas),
             self._send,
             self.settings.bootstrap,
@@ -199,6 +199,7 @@
             )
         for replica in self._replicas.values():
             replica.start(self.incarnation, founders)
+        self.leases.start()
 
     def _address(self, name):
         for replica in self._replicas.values():
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -87,7 +87,6 @@
         random=None,
         timing=None,
         metrics=None,
-        on_skipped=None,
     ):
         """
         Restore the machine from the journal's snapshot.
@@ -95,8 +94,6 @@
         :param machine: has ``apply(entry)``, ``snapshot()``, ``restore()``.
         :param send: function of host name, message and timeout in
             milliseconds that returns the reply.
-        :param on_skipped: called with each accepted entry that holds no
-            command.
         """
         self.name = name
         self.group = group
@@ -115,7 +112,6 @@
         self.election_wanted = Event()
         self._random = random or SystemRandom()
         self._metrics = metrics
-        self._on_skipped = on_skipped or (lambda entry: None)
         self._waiters = {}
         self._incoming = Incoming(self)
         self._committed = Event()
@@ -474,8 +470,6 @@
         outcome = b''
         if entry.kind == 'command':
             outcome = self.machine.apply(entry)
-        else:
-            self._on_skipped(entry)
         self.applied_index = entry.index
         if entry.kind == 'members':
             self._members_accepted(entry.index)
--- a/damasklanding/fleet/shards.py
+++ b/damasklanding/fleet/shards.py
@@ -27,7 +27,7 @@
         None for removed ones.
     """
     owners = _valid_owners(state, updates)
-    fair = BUDGET_SHARDS / max(1, len(state.all('backend')))
+    fair = BUDGET_SHARDS / max(1, _count(state, updates))
     chosen = _relieve(owners, _newcomers(owners, updates), fair)
     orphans = [name for name in SHARD_NAMES if name not in owners]
     if orphans:
@@ -45,6 +45,15 @@
     return state.get('backend', name)
 
 
+def _count(state, updates):
+    known = state.all('backend')
+    joined = sum(
+        (backend is not None) - (name in known)
+        for name, backend in updates.items()
+    )
+    return len(known) + joined
+
+
 def _may_own(backend):
     return backend is not None and backend.state == 'in'
 
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -14,6 +14,7 @@
 from damasklanding.control.client import ControlClient
 from damasklanding.control.host import ControlHost
 from damasklanding.control.replica import Timing
+from damasklanding.errors import LinkClosed
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import Outcome
 from damasklanding.link import Identity
@@ -40,6 +41,13 @@
     )
 
 
+class CutPool:
+    """A pool that reaches nobody."""
+
+    def get(self, address):
+        raise LinkClosed(f'no connection to {address}')
+
+
 class Cluster:
     """Starts, cuts off and wipes control hosts by name."""
 
@@ -97,6 +105,22 @@
         self._servers.pop(name).stop()
         self._pools.pop(name).close()
 
+    def isolate(self, name):
+        """Cut a host off: it neither reaches others nor is reached."""
+        host = self.hosts[name]
+        self._servers.pop(name).stop()
+        self._pools[name].close()
+        host.send_of = host._pool
+        host._pool = CutPool()
+
+    def rejoin(self, name):
+        host = self.hosts[name]
+        host._pool = host.send_of
+        server = self._listen(name, dict(self.addresses)[name])
+        server._handlers.update(host.handlers())
+        server.start()
+        self._servers[name] = server
+
     def leader(self):
         eventually(lambda: self._leader() is not None)
         return self._leader()
