Compose the daemon: control, node, or both in one process

Cause: the parts stood side by side. Change: the composition root and the daemon. Before: no process could be started.

--- a/bench/operator.py
+++ b/bench/operator.py
@@ -46,7 +46,9 @@
     def __init__(self, addresses, secret):
         identity = Identity('bench', 'tool', uuid4().hex)
         self._pool = LinkPool(identity, secret)
-        self._client = ControlClient(self._pool, addresses)
+        self._client = ControlClient(
+            self._pool, [(address, address) for address in addresses]
+        )
         self.view = FleetView()
         self._watch = WatchClient(
             self.view,
--- /dev/null
+++ b/damasklanding/composition.py
@@ -0,0 +1,304 @@
+"""
+damasklanding.composition
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The composition root: builds the parts of a daemon from its settings, joins
+them, and starts and stops them in order.
+"""
+
+import random
+from uuid import uuid4
+
+import gevent
+
+from damasklanding.clock import monotonic_ms
+from damasklanding.link import Identity
+from damasklanding.link import LinkOptions
+from damasklanding.link import LinkServer
+from damasklanding.link import parse_address
+from damasklanding.links import LinkPool
+from damasklanding.metrics import Metrics
+
+__all__ = ['Daemon']
+
+BEAT_MS = 300
+
+
+class Daemon:
+    """
+    One daemon process with the roles of its settings.
+
+    :ivar control: parts of the control role, or None.
+    :ivar node: parts of the node role, or None.
+    """
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.metrics = Metrics()
+        self.control = None
+        self.node = None
+        role = 'control' if 'control' in settings.roles else 'node'
+        self.identity = Identity(settings.name, role, uuid4().hex)
+        self.handlers = {}
+        options = LinkOptions(
+            load=self._load_bytes, on_broken=self._link_broken
+        )
+        self.pool = LinkPool(
+            self.identity, settings.secret, self.handlers, options
+        )
+        self.server = LinkServer(
+            settings.peer_address,
+            self.identity,
+            settings.secret,
+            self.handlers,
+            options,
+        )
+        if 'control' in settings.roles:
+            self.control = _ControlRole(self)
+        if 'node' in settings.roles:
+            self.node = _NodeRole(self)
+
+    @property
+    def view(self):
+        """Return the view of the configuration in this process."""
+        return self.control.host.view if self.control else self.node.view
+
+    def start(self):
+        """Start all parts; the listeners for work come last."""
+        self.server.start()
+        if self.control is not None:
+            self.control.start()
+        if self.node is not None:
+            self.node.start()
+
+    def stop(self):
+        """Stop as planned: no running request is cut."""
+        if self.node is not None:
+            self.node.stop(self.settings.drain_timeout_ms)
+        if self.control is not None:
+            self.control.stop()
+        self.server.stop()
+        self.pool.close()
+
+    def status(self):
+        """Return the statuses of the roles of this process."""
+        roles = (self.control, self.node)
+        return [role.status() for role in roles if role is not None]
+
+    def _load_bytes(self):
+        return self.node.load_bytes() if self.node else b''
+
+    def _link_broken(self, _link, error):
+        code = getattr(error, 'code', type(error).__name__)
+        self.metrics.add('link_events_total', code)
+
+
+class _ControlRole:
+    """A control host: the replicated logs, leases, watch and admin API."""
+
+    def __init__(self, daemon):
+        from damasklanding.claims.commands import CLAIMS_GROUP
+        from damasklanding.claims.machine import ClaimMachine
+        from damasklanding.claims.ticker import Ticker
+        from damasklanding.control.host import ControlHost
+        from damasklanding.control.watch import WatchServer
+        from damasklanding.telemetry import FleetTelemetry
+
+        settings = daemon.settings
+        self.host = ControlHost(
+            settings, daemon.identity, daemon.pool, daemon.metrics
+        )
+        claims = self.host.add_group(CLAIMS_GROUP, ClaimMachine())
+        self.ticker = Ticker(
+            claims.propose, lambda: claims.role == 'leader', monotonic_ms
+        )
+        self.telemetry = FleetTelemetry()
+        self.watch = WatchServer(self.host.view, self.beat)
+        self.host.watchers = self.watch.watchers
+        daemon.handlers.update(self.host.handlers())
+        daemon.handlers.update(self.watch.handlers())
+        self.admin = _admin_server(
+            settings, self.host, daemon.metrics, self.telemetry
+        )
+
+    def start(self):
+        """Join the other control hosts and serve the API."""
+        self.host.start()
+        self.ticker.start()
+        self.admin.start()
+
+    def stop(self):
+        """Hand leadership over and stop."""
+        self.admin.stop(timeout=1)
+        self.ticker.stop()
+        self.host.stop()
+
+    def status(self):
+        """Return the control host's status."""
+        return self.host.status()
+
+    def beat(self, name, instance, status):
+        """Take a node's heartbeat."""
+        self.host.leases.touch(name, instance)
+        self.telemetry.receive(name, instance, status)
+
+
+class _NodeRole:
+    """A node: the data path and what keeps it in the fleet."""
+
+    def __init__(self, daemon):
+        from damasklanding.budget.holdings import Holdings
+        from damasklanding.budget.owner import Owner
+        from damasklanding.claims.client import ClaimClient
+        from damasklanding.control.client import ControlClient
+        from damasklanding.control.watch import WatchServer
+        from damasklanding.fleet.resources import Backend
+        from damasklanding.node.assembly import Node
+        from damasklanding.node.registration import Registration
+        from damasklanding.node.view import FleetView
+        from damasklanding.node.watch import WatchClient
+        from damasklanding.policy.gate import build_gate
+        from damasklanding.policy.retry import RetryBudget
+        from damasklanding.policy.routing import Router
+        from damasklanding.telemetry import NodeTelemetry
+
+        settings = daemon.settings
+        identity = daemon.identity
+        control = daemon.control
+        self.view = control.host.view if control else FleetView()
+        self.gate = build_gate('')
+        self.telemetry = NodeTelemetry(self.gate.load)
+        client = ControlClient(daemon.pool, settings.control_hosts)
+        self.registration = Registration(
+            Backend(
+                name=settings.name,
+                instance=identity.instance,
+                data_centre=settings.data_centre,
+                peer_address=settings.advertise_address
+                or settings.peer_address,
+            ),
+            self.view,
+            lambda payload, timeout_ms: client.propose(
+                'config', payload, timeout_ms
+            ),
+            monotonic_ms,
+        )
+        self.watch = WatchClient(
+            self.view,
+            daemon.pool,
+            identity,
+            [address for _, address in settings.control_hosts],
+            random.Random(identity.instance),
+            self.telemetry.take,
+        )
+        self.owner = Owner(
+            self.view,
+            identity.name,
+            identity.instance,
+            monotonic_ms,
+            daemon.metrics,
+            daemon.pool,
+        )
+        self.holdings = Holdings(
+            self.view,
+            daemon.pool,
+            self.owner,
+            monotonic_ms,
+            daemon.metrics,
+            identity.name,
+        )
+        self.node = Node(
+            settings,
+            self.view,
+            daemon.pool,
+            self.gate,
+            Router(
+                identity.name,
+                settings.data_centre,
+                monotonic_ms,
+                random.Random(identity.instance),
+            ),
+            RetryBudget(),
+            self.holdings,
+            ClaimClient(client, monotonic_ms, daemon.metrics),
+            daemon.metrics,
+            on_announce=self.registration.announce,
+            want=self.watch.want,
+        )
+        daemon.handlers.update(self.owner.handlers())
+        daemon.handlers.update(self.node.handlers())
+        if control is None:
+            relay = WatchServer(self.view)
+            daemon.handlers.update(relay.handlers())
+        else:
+            self.watch = _LocalWatch(
+                control, identity.name, identity.instance, self.telemetry.take
+            )
+
+    def start(self):
+        """Follow the configuration, register and serve."""
+        self.watch.start()
+        self.registration.start()
+        self.holdings.start()
+        self.node.start()
+
+    def stop(self, drain_timeout_ms):
+        """Leave the fleet, let running requests end, then stop."""
+        self.registration.leave()
+        self.node.drain(drain_timeout_ms)
+        self.owner.drain(drain_timeout_ms)
+        self.holdings.stop()
+        self.registration.withdraw()
+        self.watch.stop()
+        self.node.stop()
+
+    def load_bytes(self):
+        """Return this node's encoded load report."""
+        from damasklanding.policy.work import encode_load
+
+        return encode_load(self.gate.load())
+
+    def status(self):
+        """Return the data path's status."""
+        return self.node.status()
+
+
+class _LocalWatch:
+    """Stands for the watch of a node that shares a control host's view."""
+
+    def __init__(self, control, name, instance, take_status):
+        self._control = control
+        self._name = name
+        self._instance = instance
+        self._take_status = take_status
+        self._greenlet = None
+
+    def start(self):
+        """Start to renew the node's lease."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self):
+        """Stop renewing."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def want(self, _service):
+        """Do nothing: the view holds all backend servers."""
+
+    def _run(self):
+        while True:
+            self._control.beat(self._name, self._instance, self._take_status())
+            gevent.sleep(BEAT_MS / 1000)
+
+
+def _admin_server(settings, host, metrics, telemetry):
+    from gevent.pywsgi import WSGIServer
+
+    from damasklanding.control.admin import admin_app
+    from damasklanding.operators import OperatorTokens
+
+    tokens = OperatorTokens(settings.operator_tokens_file)
+    app = admin_app(host, tokens, metrics, telemetry)
+    return WSGIServer(
+        parse_address(settings.admin_address), app, log=None, error_log=None
+    )
--- /dev/null
+++ b/damasklanding/daemon.py
@@ -0,0 +1,47 @@
+"""
+damasklanding.daemon
+~~~~~~~~~~~~~~~~~~~~
+
+The daemon ``damasklandingd``: takes its settings, runs until it is asked to
+stop, and then stops as planned.
+"""
+
+import signal
+
+from gevent import monkey
+
+__all__ = ['main', 'run']
+
+
+def run(settings):
+    """Run one daemon process until SIGTERM or SIGINT."""
+    import gevent
+    from gevent.event import Event
+    from loguru import logger
+
+    from damasklanding.composition import Daemon
+    from damasklanding.logs import configure_logs
+
+    configure_logs(settings.log_level, settings.log_json, settings.name)
+    stopping = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stopping.set)
+    daemon = Daemon(settings)
+    daemon.start()
+    logger.info('started with roles {}', ','.join(settings.roles))
+    stopping.wait()
+    logger.info('stopping as planned')
+    daemon.stop()
+    logger.info('stopped')
+
+
+def main():
+    """Entry point of ``damasklandingd``."""
+    monkey.patch_all()
+    from damasklanding.settings import daemon_command
+
+    daemon_command(run)()
+
+
+if __name__ == '__main__':
+    main()
