--- a/damasklanding/burn.py
+++ b/damasklanding/burn.py
@@ -53,6 +53,24 @@
     Window('6h', 21_600_000, 300_000),
 )
 
+#: Reasons that say nothing about the service: the caller's own doing.
+CALLER_REASONS = frozenset(
+    (
+        'bad-input',
+        'caller-gone',
+        'forbidden',
+        'header-timeout',
+        'headers-too-large',
+        'key-refused',
+        'key-reused',
+        'not-found',
+        'over-rate',
+        'too-large',
+    )
+)
+GOOD = 'ok'
+LATE = 'late'
+
 #: Judgement, the two windows that must both burn, and the rate of each.
 JUDGEMENTS = (
     (PAGE, ('5m', '1h'), 14.4),
@@ -80,6 +98,25 @@
     def __init__(self):
         self._counts = {}
 
+    def finished(self, passage, reason, latency_ms, objective_latency_ms):
+        """
+        Count a request that has ended.
+
+        :param passage: has ``service``, ``profile`` and ``organisation``.
+        :param reason: ``ok``, ``failed`` or an error code.
+        """
+        if reason in CALLER_REASONS:
+            return
+        if reason == GOOD and latency_ms > objective_latency_ms:
+            reason = LATE
+        self.record(
+            passage.service,
+            passage.profile,
+            passage.organisation,
+            reason == GOOD,
+            reason,
+        )
+
     def record(self, service, profile, organisation, good, reason=''):
         """Count one request by how it ended."""
         key = (service, profile, organisation, '' if good else reason)
--- a/damasklanding/cmdline.py
+++ b/damasklanding/cmdline.py
@@ -10,6 +10,9 @@
 from damasklanding import __version__
 from damasklanding.commands.base import ToolGroup
 from damasklanding.commands.base import shared_options
+from damasklanding.commands.burn import report_group
+from damasklanding.commands.files import apply_file
+from damasklanding.commands.files import snapshot_group
 from damasklanding.commands.fleet import FLEET_COMMANDS
 from damasklanding.commands.keys import key_group
 from damasklanding.commands.resources import SUBJECTS
@@ -52,6 +55,9 @@
     for subject in SUBJECTS:
         group.add_command(subject_group(subject))
     group.add_command(key_group)
+    group.add_command(report_group)
+    group.add_command(snapshot_group)
+    group.add_command(apply_file)
     for command in FLEET_COMMANDS:
         group.add_command(command)
     return click.version_option(__version__, prog_name='damasklanding')(group)
--- /dev/null
+++ b/damasklanding/commands/files.py
@@ -0,0 +1,254 @@
+"""
+damasklanding.commands.files
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Commands that carry whole configurations: ``apply`` and ``snapshot``.
+"""
+
+import click
+import msgspec
+
+from damasklanding.adminclient import answered
+from damasklanding.adminclient import path_of
+from damasklanding.commands.base import ToolCommand
+from damasklanding.commands.base import ToolGroup
+from damasklanding.commands.base import changes_fleet
+from damasklanding.documents import decode_configuration
+from damasklanding.documents import plain_values
+from damasklanding.errors import BadInput
+from damasklanding.errors import CorruptStore
+from damasklanding.errors import NotFound
+from damasklanding.snapshot import decode_snapshot
+
+__all__ = ['apply_file', 'snapshot_group']
+
+COLLECTIONS = {
+    'profile': 'profiles',
+    'service': 'services',
+    'organisation': 'organisations',
+    'data_centre': 'data-centres',
+    'control_host': 'control-hosts',
+}
+#: Kinds that ``restore`` writes, those that others refer to first.
+RESTORED = ('profile', 'service', 'organisation', 'data_centre')
+
+_RESULT_COLUMNS = (
+    ('KIND', 'kind'),
+    ('NAME', 'name'),
+    ('RESULT', 'result'),
+    ('REVISION', 'revision'),
+)
+
+
+class Applied(msgspec.Struct):
+    """What became of one resource of a file."""
+
+    kind: str
+    name: str
+    result: str
+    revision: int
+
+
+def _read(path):
+    try:
+        with click.open_file(path, 'rb') as file:
+            return file.read()
+    except OSError as error:
+        raise BadInput(
+            f'{path!r} can not be read, {error.strerror}',
+            'name a readable file, or - for standard input',
+        ) from error
+
+
+@click.command('apply', cls=ToolCommand)
+@click.argument('file')
+@click.option('--dry-run', is_flag=True, help='Only show what would change.')
+@changes_fleet
+def apply_file(change, file, dry_run):
+    """
+    Put all resources of a configuration FILE in JSON.
+
+    The file holds lists of profiles, services, organisations, data_centres
+    and control_hosts. What is equal already stays as it is, what the file
+    does not name stays too, and keys are granted on their own. Running it
+    again after a failure goes on where it stopped.
+    """
+    configuration = decode_configuration(_read(file))
+    items = [
+        (kind, plain_values(document))
+        for kind, document in configuration.resources()
+    ]
+    _finish(change, _put_each(change, items, dry_run))
+
+
+def _put_each(change, items, dry_run=False):
+    return [_put(change, kind, item, dry_run) for kind, item in items]
+
+
+def _finish(change, done):
+    rows = [msgspec.structs.asdict(line) for line in done]
+    change.tool.show_rows(rows, _RESULT_COLUMNS)
+    revision = max((line.revision for line in done), default=0)
+    if change.wait and revision:
+        state = change.await_revision(revision)
+        change.tool.note(
+            f'revision {revision} is in force on {state.nodes} nodes'
+        )
+
+
+def _put(change, kind, item, dry_run):
+    name = item['name']
+    path = path_of(COLLECTIONS[kind], name)
+    try:
+        present = change.tool.client.call('GET', path)['item']
+    except NotFound:
+        present = None
+    body = _without(item, present)
+    if present is not None and all(
+        present[field] == value for field, value in body.items()
+    ):
+        return Applied(kind, name, 'unchanged', present['revision'])
+    result = 'created' if present is None else 'changed'
+    if dry_run:
+        return Applied(kind, name, f'would be {result}', 0)
+    expected = present['revision'] if present else 0
+    written = change.tool.client.call('PUT', path, body, expected)
+    return Applied(kind, name, result, written['revision'])
+
+
+def _without(item, present):
+    """Drop what a file does not decide; ``out`` stays as operators set it."""
+    body = {
+        field: value
+        for field, value in item.items()
+        if field not in ('name', 'revision', 'keys')
+    }
+    if present is not None and 'out' in body:
+        body['out'] = present['out']
+    return body
+
+
+snapshot_group = ToolGroup(
+    'snapshot',
+    help="""Fetch, verify and restore snapshots of the configuration.
+
+\b
+Examples:
+  damasklanding snapshot fetch fleet.snapshot
+  damasklanding snapshot verify fleet.snapshot
+  damasklanding snapshot verify
+  damasklanding snapshot restore fleet.snapshot --wait
+""",
+)
+
+
+class SnapshotLine(msgspec.Struct):
+    """One snapshot and what it holds."""
+
+    source: str
+    revision: int
+    checksum: str
+    resources: dict[str, int]
+
+
+def _line(source, data):
+    snapshot = decode_snapshot(data)
+    counts = {kind: len(items) for kind, items in snapshot.resources.items()}
+    return SnapshotLine(source, snapshot.revision, snapshot.checksum, counts)
+
+
+def _line_text(line):
+    counts = ', '.join(f'{kind} {n}' for kind, n in line.resources.items())
+    return (
+        f'{line.source}: revision {line.revision}, checksum '
+        f'{line.checksum[:16]}, {counts or "empty"}'
+    )
+
+
+@snapshot_group.command('fetch')
+@click.argument('file')
+@click.pass_obj
+def fetch(tool, file):
+    """Write a checked snapshot to FILE."""
+    data = tool.client.download(path_of('snapshot', fresh=1))
+    line = _line(file, data)
+    try:
+        with click.open_file(file, 'wb', atomic=file != '-') as target:
+            target.write(data)
+    except OSError as error:
+        raise BadInput(
+            f'{file!r} can not be written, {error.strerror}',
+            'name a file in a folder that you may write',
+        ) from error
+    if file == '-':
+        return
+    tool.show(line, _line_text(line))
+
+
+@snapshot_group.command('verify')
+@click.argument('file', required=False)
+@click.pass_obj
+def verify(tool, file):
+    """
+    Check the snapshot in FILE, or compare those of all control hosts.
+
+    Control hosts at the same revision must have the same checksum.
+    """
+    if file:
+        line = _line(file, _read(file))
+        tool.show(line, _line_text(line))
+        return
+    replies = answered(tool.client.download_each(path_of('snapshot')))
+    lines = [_line(reply.address, reply.body) for reply in replies]
+    tool.show(lines, '\n'.join(map(_line_text, lines)))
+    _compare(lines)
+
+
+def _compare(lines):
+    checksums = {}
+    for line in lines:
+        checksums.setdefault(line.revision, set()).add(line.checksum)
+    for revision, found in checksums.items():
+        if len(found) > 1:
+            raise CorruptStore(
+                f'control hosts differ at revision {revision}',
+                'verify again; if they still differ, replace those in the '
+                'minority one at a time',
+            )
+
+
+@snapshot_group.command('restore')
+@click.argument('file')
+@changes_fleet
+def restore(change, file):
+    """
+    Put the resources of a snapshot into this fleet, keys included.
+
+    Meant for a newly founded fleet after every control host was lost.
+    """
+    resources = decode_snapshot(_read(file)).resources
+    items = [
+        (kind, plain_values(resource))
+        for kind in RESTORED
+        for resource in resources.get(kind, ())
+    ]
+    done = _put_each(change, items)
+    for organisation in resources.get('organisation', ()):
+        done += _restore_keys(change, organisation)
+    _finish(change, done)
+
+
+def _restore_keys(change, organisation):
+    path = path_of('organisations', organisation.name, 'keys')
+    client = change.tool.client
+    present = client.call('GET', path)['items']
+    return [
+        Applied(
+            'key',
+            f'{organisation.name}/{key.key_id}',
+            'granted',
+            client.call('POST', path, plain_values(key))['revision'],
+        )
+        for key in organisation.keys
+        if key.key_id not in present
+    ]
--- a/damasklanding/metrics.py
+++ b/damasklanding/metrics.py
@@ -6,8 +6,6 @@
 aioprometheus registry is filled only when the metrics route is read.
 """
 
-from damasklanding.errors import BadInput
-
 __all__ = ['COUNTERS', 'GAUGES', 'Metrics']
 
 #: Help text and label names by counter.
@@ -37,6 +35,10 @@
     'claims_total': ('At-most-once claims by verdict', ('verdict',)),
     'changes_total': ('Configuration changes applied', ('kind',)),
     'elections_total': ('Elections by group and result', ('group', 'result')),
+    'series_dropped_total': (
+        'Counts without a series, by counter: too many label values',
+        ('name',),
+    ),
 }
 
 #: Help text and label names by gauge.
@@ -50,8 +52,16 @@
 }
 
 
+MAX_SERIES = 20_000
+
+
 class Metrics:
-    """Counts by name and label values; renders on demand."""
+    """
+    Counts by name and label values; renders on demand.
+
+    The number of series is bounded; counts beyond it go to
+    ``series_dropped_total``.
+    """
 
     def __init__(self):
         self._counts = {}
@@ -65,7 +75,11 @@
         :param labels: values in the order of the declaration.
         """
         key = (name, labels)
-        self._counts[key] = self._counts.get(key, 0) + amount
+        count = self._counts.get(key)
+        if count is None:
+            key = self._new_series(key)
+            count = self._counts.get(key, 0)
+        self._counts[key] = count + amount
 
     def set(self, name, value, *labels):
         """Set a declared gauge."""
@@ -90,7 +104,10 @@
         """
         Return the exposition as bytes and its HTTP headers.
 
-        :raises BadInput: where a counter was used without a declaration.
+        A counter without a declaration, or with a wrong number of labels,
+        is left out.
+
+        :param accept: media types of the request's Accept header.
         """
         from aioprometheus import Counter
         from aioprometheus import Gauge
@@ -104,16 +121,26 @@
         _fill(registry, Gauge, GAUGES, self._gauges)
         return render(registry, list(accept))
 
+    def _new_series(self, key):
+        if len(self._counts) < MAX_SERIES:
+            return key
+        return 'series_dropped_total', (key[0],)
+
 
 def _fill(registry, kind, declared, values):
     collectors = {}
     for (name, labels), value in sorted(values.items(), key=repr):
-        if name not in declared:
-            raise BadInput(f'metric {name} has no declaration')
-        text, label_names = declared[name]
+        text, label_names = declared.get(name, ('', None))
+        if label_names is None or len(label_names) != len(labels):
+            continue
         collector = collectors.get(name)
         if collector is None:
             collector = kind(f'damasklanding_{name}', text, registry=registry)
             collectors[name] = collector
-        names = dict(zip(label_names, map(str, labels), strict=True))
+        names = dict(zip(label_names, map(_escape, labels), strict=True))
         collector.set(names, value)
+
+
+def _escape(value):
+    text = str(value).replace('\\', '\\\\')
+    return text.replace('\n', '\\n').replace('"', '\\"')
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -6,8 +6,10 @@
 from gevent.threadpool import ThreadPool
 import pytest
 
+from damasklanding.burn import BurnRecorder
 from damasklanding.cmdline import tool_group
 from damasklanding.fleet.resources import Backend
+from damasklanding.fleet.resources import DataCentre
 from damasklanding.fleet.resources import Organisation
 from tests.fakes_admin import FakeHost
 from tests.fakes_admin import Watcher
@@ -48,12 +50,12 @@
 @pytest.fixture()
 def fleet(tmp_path):
     hosts = [FakeHost('c1'), FakeHost('c2')]
+    made = [make_app(tmp_path, host) for host in hosts]
     with ExitStack() as stack:
-        addresses = [
-            stack.enter_context(served(make_app(tmp_path, host)[0]))
-            for host in hosts
-        ]
-        yield Fleet(hosts, addresses, str(tmp_path / 'tokens'))
+        addresses = [stack.enter_context(served(app)) for app, *_ in made]
+        fleet = Fleet(hosts, addresses, str(tmp_path / 'tokens'))
+        fleet.telemetries = [parts[-1] for parts in made]
+        yield fleet
 
 
 def register(fleet, *names):
@@ -245,3 +247,107 @@
     )
     result = fleet.run('organisation', 'delete', 'lender-1')
     assert result.exit_code == 0
+
+
+CONFIGURATION = {
+    'profiles': [{'name': 'bookings', 'importance': 3, 'idempotent': False}],
+    'services': [
+        {
+            'name': 'plan-office',
+            'routes': [{'prefix': '/plans', 'profile': 'bookings'}],
+        }
+    ],
+    'organisations': [
+        {'name': 'lender-1', 'rate_per_s': 50, 'burst_requests': 100}
+    ],
+    'data_centres': [{'name': 'kushiro', 'region': 'doto'}],
+}
+
+
+def results(result):
+    return [line.split()[2] for line in result.stdout.splitlines()[1:]]
+
+
+def test_apply_is_repeatable_and_writes_only_what_differs(fleet, tmp_path):
+    path = tmp_path / 'kitami.json'
+    path.write_text(json.dumps(CONFIGURATION))
+    dry = fleet.run('apply', str(path), '--dry-run')
+    assert 'would be created' in dry.stdout
+    assert fleet.host.envelopes == []
+    assert results(fleet.run('apply', str(path))) == ['created'] * 4
+    fleet.run('data-centre', 'out', 'kushiro')
+    again = fleet.run('apply', str(path), '--wait', admin=fleet.addresses[0])
+    assert again.exit_code == 0, again.output
+    assert results(again) == ['unchanged'] * 4
+    assert fleet.host.view.data_centre_out('kushiro')
+    text = json.dumps(CONFIGURATION).replace(
+        '"importance": 3', '"importance": 2'
+    )
+    path.write_text(text)
+    assert results(fleet.run('apply', str(path)))[0] == 'changed'
+
+
+@pytest.mark.parametrize(
+    ('text', 'named'),
+    [
+        ('{"profile": []}', 'profile'),
+        ('{"profiles": [{"name": "p", "wieght": 1}]}', 'wieght'),
+        ('{"profiles": [{"name": "p", "importance": 9}]}', 'importance'),
+        ('profiles:', 'malformed'),
+    ],
+)
+def test_apply_checks_the_whole_file_first(fleet, tmp_path, text, named):
+    path = tmp_path / 'file.json'
+    path.write_text(text)
+    result = fleet.run('apply', str(path))
+    assert (result.exit_code, named in result.output) == (2, True)
+    assert fleet.host.envelopes == []
+
+
+def test_snapshot_is_fetched_verified_and_restored(fleet, tmp_path):
+    path = tmp_path / 'kitami.json'
+    path.write_text(json.dumps(CONFIGURATION))
+    fleet.run('apply', str(path))
+    key = fleet.json('key', 'grant', 'lender-1')['key']
+    copy = tmp_path / 'fleet.snapshot'
+    assert fleet.run('snapshot', 'fetch', str(copy)).exit_code == 0
+    line = fleet.json('snapshot', 'verify', str(copy))
+    assert line['resources']['organisation'] == 1
+    other = fleet.addresses[1]
+    first = fleet.run('snapshot', 'restore', str(copy), admin=other)
+    assert first.exit_code == 0, first.output
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    assert fleet.hosts[1].view.has_key(digest)
+    again = fleet.run('snapshot', 'restore', str(copy), admin=other)
+    assert results(again) == ['unchanged'] * 4
+    data = bytearray(copy.read_bytes())
+    data[-1] ^= 1
+    copy.write_bytes(bytes(data))
+    damaged = fleet.run('snapshot', 'verify', str(copy))
+    assert (damaged.exit_code, 'checksum' in damaged.output) == (7, True)
+
+
+def test_control_hosts_that_differ_are_found(fleet):
+    assert fleet.run('snapshot', 'verify').exit_code == 0
+    for host, name in zip(fleet.hosts, ('a', 'b'), strict=True):
+        host.put('data_centre', DataCentre(name=name))
+    result = fleet.run('snapshot', 'verify')
+    assert (result.exit_code, 'differ' in result.output) == (7, True)
+
+
+def test_report_burn_sums_all_control_hosts(fleet, tmp_path):
+    for telemetry in fleet.telemetries:
+        recorder = BurnRecorder()
+        for _ in range(10):
+            recorder.record('plan-office', 'bookings', 'o', False, 'late')
+        telemetry.burn.add('n1', recorder.take_delta())
+    page = tmp_path / 'burn.html'
+    result = fleet.run('report', 'burn', '--html', str(page))
+    assert result.exit_code == 0, result.output
+    assert 'late 20' in result.stdout
+    assert 'page' in result.stdout
+    assert 'Plotly.newPlot' in page.read_text()
+    admin = f'{fleet.addresses[0]},{CLOSED}'
+    report = fleet.json('report', 'burn', admin=admin)
+    assert report['lines'][0]['bad'] == 10
+    assert report['unreachable'] == [CLOSED]
