Readmit wiped control hosts and change members one at a time

A data folder's votes count only under the incarnation that the log records for it. The leader catches a new folder up as a learner and then commits its admission; a change of members needs a quorum of the members before it and of those after it, and a later entry marks it as settled, so that a restart needs no host that was removed.

Found by the new tests and mended: a wiped follower was never sent entries until the next proposal; the announcements of control hosts pushed operators' changes out of the history.

--- a/damasklanding/control/client.py
+++ b/damasklanding/control/client.py
@@ -33,7 +33,7 @@
         self._next = 0
         self._now_ms = now_ms
 
-    def propose(self, group, payload, timeout_ms):
+    def propose(self, group, payload, timeout_ms, kind='command'):
         """
         Have a command accepted; the same payload is resent until then.
 
@@ -43,7 +43,8 @@
         :raises Unavailable: its message says whether the outcome is
             unknown.
         """
-        return self.request_any(Propose(group, payload), timeout_ms).outcome
+        message = Propose(group, payload, kind=kind)
+        return self.request_any(message, timeout_ms).outcome
 
     def request_any(self, message, timeout_ms):
         """
--- a/damasklanding/control/configuration.py
+++ b/damasklanding/control/configuration.py
@@ -150,7 +150,7 @@
     def _record(self, entry, envelope, kind, name):
         if self._metrics is not None:
             self._metrics.add('changes_total', kind)
-        if is_membership(envelope.command):
+        if is_membership(envelope.command) or not envelope.operator:
             return
         self._operators[kind, name] = envelope.operator
         op = type(envelope.command).__name__
--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -26,7 +26,10 @@
 from damasklanding.control.storage import locked_folder
 from damasklanding.errors import LinkTimeout
 from damasklanding.errors import Unavailable
+from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import Outcome
+from damasklanding.fleet.commands import PutControlHost
+from damasklanding.fleet.resources import ControlHost as ControlHostResource
 from damasklanding.node.view import FleetView
 
 __all__ = ['ControlHost', 'GroupStatus', 'HostStatus']
@@ -34,6 +37,7 @@
 CONFIG = 'config'
 PROPOSE_TIMEOUT_MS = 5_000
 RETRY_MS = 50
+ANNOUNCE_RETRY_MS = 1_000
 SILENT_LINK_MS = 600
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -155,17 +159,21 @@
             envelope = msgspec.structs.replace(
                 envelope, issued_at_ms=wall_ms()
             )
-        payload = _encode(envelope)
-        deadline_ms = self._now_ms() + timeout_ms
-        while True:
-            left_ms = deadline_ms - self._now_ms()
-            try:
-                data = self.config.propose(payload, max(left_ms, 1))
-                return _decode_outcome(data)
-            except Unavailable:
-                if left_ms <= RETRY_MS:
-                    raise
-            gevent.sleep(RETRY_MS / 1000)
+        data = self._propose(self.config, _encode(envelope), timeout_ms)
+        return _decode_outcome(data)
+
+    def change_members(self, change, timeout_ms=PROPOSE_TIMEOUT_MS):
+        """
+        Add or remove a control host in every group.
+
+        :param change: :class:`~damasklanding.control.members.MemberChange`.
+        :raises Conflict: another change is under way.
+        :raises BadInput: the change makes no sense, or would leave no
+            quorum.
+        """
+        payload = _encode(change)
+        for replica in self._replicas.values():
+            self._propose(replica, payload, timeout_ms, 'members')
 
     def history(self, limit=100):
         """Return the latest changes by operators, newest first."""
@@ -200,6 +208,37 @@
         for replica in self._replicas.values():
             replica.start(self.incarnation, founders)
         self.leases.start()
+        self._announce()
+
+    def _propose(self, replica, payload, timeout_ms, kind='command'):
+        deadline_ms = self._now_ms() + timeout_ms
+        while True:
+            left_ms = deadline_ms - self._now_ms()
+            try:
+                return replica.propose(payload, max(left_ms, 1), kind)
+            except Unavailable:
+                if left_ms <= RETRY_MS:
+                    raise
+            gevent.sleep(RETRY_MS / 1000)
+
+    def _announce(self):
+        settings = self.settings
+        host = ControlHostResource(
+            name=settings.name,
+            peer_address=settings.peer_address,
+            admin_address=settings.admin_address,
+        )
+        envelope = Envelope(
+            request_id=f'announce-{os.urandom(8).hex()}',
+            operator='',
+            command=PutControlHost(control_host=host),
+        )
+        while True:
+            try:
+                self.propose(envelope)
+                return
+            except Unavailable:
+                gevent.sleep(ANNOUNCE_RETRY_MS / 1000)
 
     def _address(self, name):
         for replica in self._replicas.values():
--- a/damasklanding/control/members.py
+++ b/damasklanding/control/members.py
@@ -8,10 +8,15 @@
 
 import msgspec
 
+from damasklanding.errors import BadInput
+
 __all__ = [
     'FOUNDING',
     'Member',
+    'MemberChange',
     'Membership',
+    'changed_members',
+    'decode_change',
     'decode_members',
     'encode_members',
     'quorum_reached',
@@ -37,6 +42,20 @@
     voter: bool = True
 
 
+class MemberChange(msgspec.Struct, frozen=True, omit_defaults=True):
+    """
+    An operator's change of a group's members.
+
+    :ivar action: ``add``, as a learner that votes once it has caught up, or
+        ``remove``.
+    """
+
+    action: str
+    name: str
+    address: str = ''
+
+
+_change_decoder = msgspec.msgpack.Decoder(MemberChange)
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(tuple[Member, ...])
 
@@ -51,6 +70,44 @@
     return _decoder.decode(data) if data else ()
 
 
+def decode_change(data):
+    """
+    Decode a change of members.
+
+    :raises BadInput: where the bytes hold none.
+    """
+    try:
+        return _change_decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        raise BadInput(f'a malformed change of members ({error})') from error
+
+
+def changed_members(members, change):
+    """
+    Return the members after a change; the same ones where it stands.
+
+    :raises BadInput: where the change makes no sense.
+    """
+    others = tuple(m for m in members if m.name != change.name)
+    if change.action == 'add':
+        known = [m for m in members if m.name == change.name]
+        if known and known[0].address == change.address:
+            return members
+        if known:
+            raise BadInput(
+                f'{change.name} is a member at {known[0].address}',
+                'remove it first',
+            )
+        return (*others, Member(change.name, change.address, '', False))
+    if change.action == 'remove':
+        if not any(member.voter for member in others):
+            raise BadInput(
+                f'{change.name} is the last voter', 'add another host first'
+            )
+        return others
+    raise BadInput(f'action is {change.action!r}', 'give add or remove')
+
+
 def quorum_value(members, values):
     """
     Return the highest value that a quorum of the voters has reached.
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -20,11 +20,14 @@
 from damasklanding.control.election import run_elections
 from damasklanding.control.journal import Vote
 from damasklanding.control.members import Membership
+from damasklanding.control.members import decode_change
 from damasklanding.control.members import decode_members
+from damasklanding.control.members import encode_members
 from damasklanding.control.replication import Leadership
 from damasklanding.control.snapshots import Incoming
 from damasklanding.control.snapshots import snapshot_due
 from damasklanding.control.snapshots import take_snapshot
+from damasklanding.errors import BadInput
 from damasklanding.errors import CorruptStore
 from damasklanding.errors import NotLeader
 from damasklanding.errors import Unavailable
@@ -43,6 +46,7 @@
 PROPOSE_TIMEOUT_MS = 3_000
 LEADER_POLL_MS = 10
 APPLY_CHUNK = 64
+PROPOSED_KINDS = ('command', 'members')
 HAND_OVER_LIMIT_MS = 500
 
 
@@ -170,12 +174,14 @@
             Propose: self._handle_propose,
         }
 
-    def propose(self, payload, timeout_ms=PROPOSE_TIMEOUT_MS):
+    def propose(self, payload, timeout_ms=PROPOSE_TIMEOUT_MS, kind='command'):
         """
         Have a command accepted and applied.
 
         :param payload: bytes for the machine; may be applied twice after a
             resend, so it carries an id of its own.
+        :param kind: ``members`` where the payload is a
+            :class:`~damasklanding.control.members.MemberChange`.
         :return: bytes that the machine's ``apply`` returned.
         :raises NotLeader: nothing was proposed.
         :raises Unavailable: the outcome is unknown.
@@ -184,9 +190,9 @@
         while True:
             left_ms = deadline_ms - self.now_ms()
             if self.leadership is not None:
-                return self._propose_here('command', payload, left_ms)
+                return self._propose_here(kind, payload, left_ms)
             if self.leader and self._running:
-                message = Propose(self.group, payload, True)
+                message = Propose(self.group, payload, True, kind)
                 return self.send(self.leader, message, left_ms).outcome
             if left_ms <= 0:
                 raise NotLeader(f'group {self.group} has no leader now')
@@ -352,6 +358,11 @@
             self._note_entry(entry)
 
     def _propose_here(self, kind, payload, timeout_ms):
+        if kind == 'members':
+            members = self.leadership.members_after(decode_change(payload))
+            if members == self.membership.current:
+                return b''
+            payload = encode_members(members)
         term = self.term
         index = self.leadership.append(kind, payload)
         result = AsyncResult()
@@ -390,7 +401,10 @@
         self._require_running()
         if request.forwarded and self.leadership is None:
             raise NotLeader(f'{self.name} does not lead {self.group}')
-        return ProposeReply(self.propose(request.payload))
+        if request.kind not in PROPOSED_KINDS:
+            raise BadInput(f'a proposal of kind {request.kind!r}')
+        outcome = self.propose(request.payload, kind=request.kind)
+        return ProposeReply(outcome)
 
     def _handle_append(self, _exchange, request):
         self._require_running()
@@ -487,6 +501,12 @@
             return
         self.leadership.append('settled', str(index).encode())
         self.leadership.follow_members()
+        if not self.is_voter():
+            gevent.spawn(self._retire)
+
+    def _retire(self):
+        self._hand_over()
+        self.step_down('this host is no voter any more')
 
     def _cut_log(self):
         with self._snapshot_lock:
--- a/damasklanding/control/replication.py
+++ b/damasklanding/control/replication.py
@@ -10,9 +10,14 @@
 import gevent
 from gevent.event import Event
 
+from damasklanding.control.members import Member
+from damasklanding.control.members import changed_members
 from damasklanding.control.members import encode_members
+from damasklanding.control.members import quorum_reached
 from damasklanding.control.members import quorum_value
 from damasklanding.control.snapshots import send_snapshot
+from damasklanding.errors import BadInput
+from damasklanding.errors import Conflict
 from damasklanding.errors import DamasklandingError
 from damasklanding.wire import AppendRequest
 
@@ -71,8 +76,8 @@
             self.append('members', encode_members(membership.current))
         else:
             self.append('noop', b'')
-        self._syncer = gevent.spawn(self._sync_loop)
         self.follow_members()
+        self._syncer = gevent.spawn(self._sync_loop)
 
     def stop(self):
         """End the term; replies that still come are ignored."""
@@ -89,6 +94,8 @@
         """Append an entry of this term and return its index."""
         index = self.replica.append_own(kind, payload)
         self._appended.set()
+        if kind == 'members':
+            self.follow_members()
         for peer in self.peers.values():
             peer.news.set()
         return index
@@ -161,6 +168,55 @@
         except DamasklandingError:
             pass
 
+    def members_after(self, change):
+        """
+        Return the members after an operator's change.
+
+        :raises Conflict: another change is not yet accepted.
+        :raises BadInput: the change makes no sense, or the voters left
+            would not reach a quorum now.
+        """
+        if not self._may_change_members():
+            raise Conflict(
+                'another change of members is under way',
+                'wait until it is accepted and send this again',
+            )
+        members = changed_members(self.replica.membership.current, change)
+        if not quorum_reached(members, self._is_alive):
+            raise BadInput(
+                f'without {change.name} no quorum answers now',
+                'bring the other control hosts back first',
+            )
+        return members
+
+    def _may_change_members(self):
+        return (
+            self.replica.membership.is_settled()
+            and self.replica.commit_index >= self.first_index
+        )
+
+    def _is_alive(self, member):
+        silent_ms = self.replica.now_ms() - self._acknowledged_ms(member)
+        return silent_ms < self.replica.timing.election_max_ms
+
+    def _admit(self, peer):
+        """Record a caught-up peer's new data folder as the one to count."""
+        members = self.replica.membership.current
+        member = self.replica.membership.get(peer.name)
+        if member is None or member.incarnation == peer.incarnation:
+            return
+        caught_up = peer.match_index >= self.replica.commit_index
+        if not caught_up or not self._may_change_members():
+            return
+        admitted = Member(
+            member.name,
+            member.address,
+            peer.incarnation,
+            member.voter or not member.incarnation,
+        )
+        members = tuple(admitted if m is member else m for m in members)
+        self.append('members', encode_members(members))
+
     def _add(self, name):
         peer = Progress(name, self.first_index)
         self.peers[name] = peer
@@ -230,6 +286,8 @@
                 self._request(peer.match_index, []),
                 timing.election_min_ms,
             )
+            if not self.is_over():
+                self._admit(peer)
             gevent.sleep(timing.heartbeat_ms / 1000)
 
     def _replicate_loop(self, peer):
@@ -299,6 +357,7 @@
             peer.acknowledged_ms = _NEVER
             peer.match_index = 0
             peer.commit_sent = 0
+            peer.news.set()
             if known:
                 peer.next_index = self.first_index
                 return False
--- a/damasklanding/messages.capnp
+++ b/damasklanding/messages.capnp
@@ -195,7 +195,7 @@
   detail @8 :Data;
 }
 
-struct Propose { group @0 :Text; payload @1 :Data; forwarded @2 :Bool; }
+struct Propose { group @0 :Text; payload @1 :Data; forwarded @2 :Bool; kind @3 :Text; }
 struct ProposeReply { outcome @0 :Data; }
 
 struct Watch {
--- a/damasklanding/wire.py
+++ b/damasklanding/wire.py
@@ -305,11 +305,17 @@
 
 @message('propose')
 class Propose:
-    """An encoded envelope for a replicated log."""
+    """
+    An encoded envelope for a replicated log.
+
+    :ivar kind: ``command``, or ``members`` for a change of the group's
+        own members.
+    """
 
     group: str
     payload: bytes
     forwarded: bool = False
+    kind: str = 'command'
 
 
 @message('proposeReply')
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,165 @@
+from contextlib import contextmanager
+
+import gevent
+import pytest
+from replica_net import Net
+from replica_net import eventually
+
+
+@contextmanager
+def net(folder, **options):
+    made = Net(folder, **options)
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+def others(fleet, name):
+    return sorted(set(fleet.incarnations) - {name})
+
+
+def test_accepted_entries_survive_the_loss_of_the_leader(tmp_path):
+    with net(tmp_path) as fleet:
+        for number in range(5):
+            leader = fleet.leader()
+            assert fleet.propose(leader.name, b'%d' % number)
+            fleet.kill(leader.name)
+            fleet.settle_one(b'after-%d' % number)
+            fleet.start(leader.name)
+        fleet.converge()
+        fleet.check_converged()
+
+
+def test_proposal_in_flight_when_the_leader_is_killed(tmp_path):
+    with net(tmp_path) as fleet:
+        leader = fleet.leader()
+        jobs = [
+            gevent.spawn(fleet.propose, leader.name, b'x%d' % number)
+            for number in range(50)
+        ]
+        gevent.sleep(0.002)
+        fleet.kill(leader.name)
+        gevent.joinall(jobs)
+        fleet.settle_one(b'next')
+        fleet.converge()
+        fleet.check_converged()
+
+
+def test_isolated_leader_commits_nothing_and_steps_down(tmp_path):
+    with net(tmp_path) as fleet:
+        leader = fleet.leader()
+        fleet.cut.add(leader.name)
+        assert fleet.propose(leader.name, b'lost', 300) is None
+        assert leader.leadership is None
+        assert leader.confirmed_age_ms() == float('inf')
+        fleet.settle_one(b'kept')
+        fleet.converge()
+        fleet.check_converged()
+        assert b'lost' not in fleet.leader().machine.payloads()
+
+
+def test_isolated_host_disturbs_nobody_when_it_returns(tmp_path):
+    with net(tmp_path) as fleet:
+        leader = fleet.leader()
+        term = leader.term
+        lost = others(fleet, leader.name)[0]
+        fleet.cut.add(lost)
+        gevent.sleep(0.5)
+        fleet.cut.clear()
+        gevent.sleep(0.3)
+        assert fleet.leader() is leader
+        assert leader.term == term
+        assert fleet.replicas[lost].term == term
+
+
+def test_planned_stop_hands_leadership_over_at_once(tmp_path):
+    with net(tmp_path) as fleet:
+        leader = fleet.leader()
+        fleet.propose(leader.name, b'x')
+        leader.stop()
+        replica = fleet.replicas.pop(leader.name)
+        eventually(
+            lambda: any(r.leadership for r in fleet.replicas.values()), 5
+        )
+        assert fleet.leader().term == leader.term + 1
+        replica.journal.close()
+
+
+def test_host_that_lost_its_disk_does_not_vote_until_readmitted(tmp_path):
+    with net(tmp_path) as fleet:
+        leader = fleet.leader()
+        behind, wiped = others(fleet, leader.name)
+        fleet.cut.add(behind)
+        assert fleet.propose(leader.name, b'kept')
+        fleet.kill(leader.name)
+        fleet.wipe(wiped)
+        fleet.start(wiped)
+        fleet.cut.clear()
+        gevent.sleep(0.6)
+        assert fleet.propose(behind, b'wrong', 100) is None
+        assert fleet.replicas[behind].leadership is None
+        fleet.start(leader.name)
+        fleet.converge()
+        fleet.check_converged()
+
+
+def test_second_host_lost_right_after_a_repair_loses_nothing(tmp_path):
+    with net(tmp_path) as fleet:
+        leader = fleet.leader()
+        behind, wiped = others(fleet, leader.name)
+        fleet.cut.add(behind)
+        for number in range(40):
+            assert fleet.propose(leader.name, b'%d' % number)
+        fleet.wipe(wiped)
+        fleet.cut.clear()
+        fleet.start(wiped)
+        eventually(fleet.admitted)
+        fleet.wipe(fleet.leader().name)
+        fleet.settle_one(b'after')
+        fleet.check()
+        fleet.converge()
+        fleet.check_converged()
+
+
+def test_wiped_host_catches_up_by_snapshot(tmp_path):
+    with net(tmp_path) as fleet:
+        leader = fleet.leader()
+        wiped = others(fleet, leader.name)[0]
+        for number in range(100):
+            fleet.settle_one(b'%d' % number)
+        eventually(lambda: fleet.leader().journal.base_index > 0)
+        fleet.wipe(wiped)
+        fleet.start(wiped)
+        eventually(fleet.admitted)
+        fleet.converge()
+        fleet.check_converged()
+
+
+def test_all_hosts_restart_at_once(tmp_path):
+    with net(tmp_path) as fleet:
+        for number in range(60):
+            fleet.settle_one(b'%d' % number)
+        for _ in range(3):
+            for name in list(fleet.replicas):
+                fleet.kill(name)
+            fleet.heal()
+            fleet.settle_one(b'again')
+        fleet.converge()
+        fleet.check_converged()
+
+
+@pytest.mark.parametrize('slow_ms', [0, 15])
+def test_two_proposers_with_delays_and_repeats(tmp_path, slow_ms):
+    with net(tmp_path) as fleet:
+        fleet.slow_ms = slow_ms
+        fleet.repeats = True
+        fleet.leader()
+        jobs = [
+            gevent.spawn(fleet.propose, name, b'%s-%d' % (name.encode(), n))
+            for name in ('a', 'b', 'c')
+            for n in range(30)
+        ]
+        gevent.joinall(jobs)
+        fleet.converge()
+        fleet.check_converged()
