--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -53,8 +53,9 @@
 CONNECT_TIMEOUT_MS = 1_000
 HANDSHAKE_TIMEOUT_MS = 2_000
 HEARTBEAT_MS = 500
+READ = 1
 SILENCE_LIMIT_MS = 2_000  # a link that is silent for longer is closed
-RECEIVE_BYTES = 256 * 1024
+RECEIVE_BYTES = 32 * 1024
 MAX_BACKLOG_BYTES = 1024 * 1024  # unsent data above which senders wait
 DELAY_WINDOW_MS = 10_000
 
@@ -105,6 +106,7 @@
         self._has_backlog = Event()
         self._has_room = Event()
         self._pongs = Event()
+        self._readable = gevent.get_hub().loop.io(sock.fileno(), READ)
         self._options = options
         self._now_ms = options.now_ms
         self._made_ms = self._now_ms()
@@ -248,6 +250,7 @@
         self.closed.set()
         self._has_room.set()
         self._pongs.set()
+        self._readable.close()
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -272,8 +275,11 @@
 
     def _read_loop(self):
         buffer = bytearray()
+        wait = gevent.get_hub().wait
         try:
             while True:
+                # To wait first saves a read that would mostly find nothing.
+                wait(self._readable)
                 data = self._sock.recv(RECEIVE_BYTES)
                 if not data:
                     return
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -124,10 +124,11 @@
         key = request.named.get(KEY)
         if key is None:
             raise KeyRefused(f'the request has no {KEY} header')
-        organisation = self._view.organisation(key)
+        digest = key_digest(key)
+        organisation = self._view.organisation_of(digest)
         if organisation is None:
             raise KeyRefused('the key is unknown or was withdrawn')
-        return organisation, key_digest(key)
+        return organisation, digest
 
     def _call(self, request, passage, profile):
         timeout_ms = profile.timeout_ms
--- a/damasklanding/node/http.py
+++ b/damasklanding/node/http.py
@@ -19,6 +19,7 @@
 from gevent.pywsgi import WSGIServer
 from gevent.pywsgi import format_date_time
 
+from damasklanding.clock import monotonic_ms
 from damasklanding.errors import BadInput
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import HeadersTooLarge
@@ -33,13 +34,15 @@
 
 MAX_HEADERS = 100
 MAX_DISCARD_BYTES = 64 * 1024
+SWEEP_MS = 1_000
 
 _TOKEN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _REQUEST_LINE = re.compile(
     rf'({_TOKEN}) (/[\x21-\x7e\x80-\xff]*) HTTP/1\.([01])'
 ).fullmatch
-_HEADER = re.compile(
-    rf'({_TOKEN}):[ \t]*((?:[\x21-\x7e\x80-\xff]+[ \t]*)*)'
+# One character class a value, so that no input makes the match slow.
+_HEADERS = re.compile(
+    rf'(?:{_TOKEN}:[\t\x20-\x7e\x80-\xff]*(?:\r\n|\Z))*'
 ).fullmatch
 _DIGITS = re.compile(r'[0-9]{1,18}').fullmatch
 _UNSAFE_PATH = re.compile(r'//|/\.\.?(?:/|$)|\\|\x00').search
@@ -126,7 +129,7 @@
     :return: :class:`Request` without a body.
     :raises BadInput: for anything that another parser could read otherwise.
     """
-    line, *lines = head.decode('latin-1').split('\r\n')
+    line, _, rest = head.decode('latin-1').partition('\r\n')
     found = _REQUEST_LINE(line)
     if found is None:
         raise BadInput('the request line is malformed', 'send HTTP/1.1')
@@ -139,29 +142,28 @@
             'the path has empty or relative segments',
             'send the path in its normal form',
         )
-    headers, named = _parse_headers(lines)
+    headers, named = _parse_headers(rest)
     request = Request(method, target, path, int(minor), headers, named)
     _check_framing(request)
     return request
 
 
-def _parse_headers(lines):
+def _parse_headers(text):
+    if not _HEADERS(text):
+        raise BadInput('a header line is malformed')
+    lines = text.split('\r\n') if text else ()
     if len(lines) > MAX_HEADERS:
         raise HeadersTooLarge(f'more than {MAX_HEADERS} headers')
     headers = []
     named = {}
     for line in lines:
-        found = _HEADER(line)
-        if found is None:
-            raise BadInput('a header line is malformed')
-        name, value = found.groups()
+        name, _, value = line.partition(':')
         name = name.lower()
         if name in named and name in _ONCE:
             raise BadInput(f'the header {name} stands twice')
-        value = value.rstrip(' \t')
+        value = value.strip(' \t')
         named[name] = value
-        headers.append(name)
-        headers.append(value)
+        headers += (name, value)
     return headers, named
 
 
@@ -188,6 +190,7 @@
     """One caller connection."""
 
     busy = False
+    idle_since_ms = 0.0
 
     def handle(self):
         """Serve requests until the connection ends."""
@@ -227,7 +230,10 @@
 
     def _read_request(self):
         limits = self.server.limits
-        self.socket.settimeout(limits.idle_timeout_ms / 1000)
+        # The listener's sweep ends idle connections; a timer for each
+        # request would cost more.
+        self.socket.settimeout(None)
+        self.idle_since_ms = monotonic_ms()
         head = self.rfile.peek(1)
         if not head:
             return None
@@ -245,6 +251,7 @@
 
     def _read_head_slowly(self, limits):
         error = HeaderTimeout('the headers did not come in time')
+        self.idle_since_ms = float('inf')
         lines = []
         size = 0
         with gevent.Timeout(limits.header_timeout_ms / 1000, error):
@@ -326,9 +333,9 @@
             head = self._build_head()
             part = self._frame(part)
             self.sent_head = True
-            self.socket.sendall(head + part)
+            send_all(self.socket, head + part)
         elif part:
-            self.socket.sendall(self._frame(part))
+            send_all(self.socket, self._frame(part))
 
     def _frame(self, part):
         if self.request.method == 'HEAD':
@@ -388,6 +395,13 @@
             pass
 
 
+def send_all(sock, data):
+    """Send bytes, with one plain call where they fit at once."""
+    sent = sock.send(data)
+    if sent < len(data):
+        sock.sendall(memoryview(data)[sent:])
+
+
 def status_line(status):
     """Return a status with its usual phrase."""
     return _STATUS_LINES.get(status) or f'{status} Status'
@@ -421,6 +435,27 @@
         self.draining = False
         self.connections = set()
         self._date = (0, '')
+        self._sweeper = None
+
+    def start(self):
+        """Start to accept callers."""
+        super().start()
+        self._sweeper = gevent.spawn(self._sweep_loop)
+
+    def stop(self, timeout=None):
+        """Stop accepting, and end the connections after a timeout."""
+        if self._sweeper is not None:
+            self._sweeper.kill(block=False)
+        super().stop(timeout)
+
+    def _sweep_loop(self):
+        pause_ms = min(SWEEP_MS, self.limits.idle_timeout_ms)
+        while True:
+            gevent.sleep(pause_ms / 1000)
+            oldest_ms = monotonic_ms() - self.limits.idle_timeout_ms
+            for handler in list(self.connections):
+                if not handler.busy and handler.idle_since_ms < oldest_ms:
+                    handler.close_idle()
 
     @property
     def bound_address(self):
--- a/damasklanding/node/reply.py
+++ b/damasklanding/node/reply.py
@@ -16,8 +16,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 
 _STATUS_LINE = re.compile(r'HTTP/1\.([01]) ([1-5][0-9][0-9])(?: .*)?')
-_HEADER = re.compile(
-    r"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00\r\n]*)"
+_HEADERS = re.compile(
+    r"(?:[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[^\x00\r\n]*(?:\r\n|\Z))*"
 ).fullmatch
 _DIGITS = re.compile(r'[0-9]{1,18}').fullmatch
 _CHUNK_SIZE = re.compile(rb'([0-9a-fA-F]{1,15})[ \t]*(?:;.*)?\r\n').fullmatch
@@ -63,7 +63,7 @@
         :raises ReplyMalformed: it is cut, or its framing is in doubt.
         """
         while True:
-            line, *lines = self._read_head().split('\r\n')
+            line, _, rest = self._read_head().partition('\r\n')
             found = _STATUS_LINE.fullmatch(line)
             if found is None:
                 raise ReplyMalformed('the status line is malformed')
@@ -71,7 +71,7 @@
                 break
         self.version = 10 + int(found[1])
         self.status = self.code = int(found[2])
-        self._read_headers(lines)
+        self._read_headers(rest)
         self._read_framing()
 
     def _read_head(self):
@@ -96,16 +96,17 @@
                 return b'\r\n'.join(lines).decode('latin-1')
             lines.append(line)
 
-    def _read_headers(self, lines):
-        for line in lines:
-            found = _HEADER(line)
-            if found is None:
-                raise ReplyMalformed('a header line is malformed')
-            name = found[1].lower()
-            value = found[2].rstrip(' \t')
-            if name in _ONCE and self.named.get(name, value) != value:
+    def _read_headers(self, text):
+        if not _HEADERS(text):
+            raise ReplyMalformed('a header line is malformed')
+        named = self.named
+        for line in text.split('\r\n') if text else ():
+            name, _, value = line.partition(':')
+            name = name.lower()
+            value = value.strip(' \t')
+            if name in _ONCE and named.get(name, value) != value:
                 raise ReplyMalformed(f'two different headers {name}')
-            self.named[name] = value
+            named[name] = value
             self.flat_headers += (name, value)
 
     def _read_framing(self):
--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -32,6 +32,7 @@
 from damasklanding.node.answers import end_to_end
 from damasklanding.node.bodies import CHUNK_BYTES
 from damasklanding.node.bodies import INLINE_BYTES
+from damasklanding.node.http import send_all
 from damasklanding.node.reply import Reply
 
 __all__ = ['Upstream']
@@ -69,6 +70,8 @@
         """Return whether the other end has closed or sent something."""
         self.sock.settimeout(0.0)
         try:
+            if self.reader.peek(1):
+                return True
             self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return False
@@ -165,7 +168,7 @@
         call.handed = True
         data = call.body.data
         if data is not None:
-            connection.sock.sendall(head + data)
+            send_all(connection.sock, head + data)
             return
         connection.sock.sendall(head)
         chunked = call.body.length is None
--- a/damasklanding/node/view.py
+++ b/damasklanding/node/view.py
@@ -122,7 +122,14 @@
 
         :raises KeyRefused: unknown or withdrawn.
         """
-        digest = key_digest(key)
+        return self.organisation_of(key_digest(key))
+
+    def organisation_of(self, digest):
+        """
+        Return the organisation that a key with this digest was granted to.
+
+        :raises KeyRefused: unknown or withdrawn.
+        """
         name, known = self._keys.get(digest, ('', ''))
         if not hmac.compare_digest(known, digest):
             raise KeyRefused('the key is unknown or was withdrawn')
