--- a/damasklanding/control/election.py
+++ b/damasklanding/control/election.py
@@ -20,21 +20,28 @@
 
 def run_elections(replica):
     """Call an election whenever no leader was heard for long enough."""
-    timing = replica.timing
-    step_ms = timing.heartbeat_ms
+    step_ms = replica.timing.heartbeat_ms
     while True:
         before_ms = replica.now_ms()
         replica.election_wanted.wait(step_ms / 1000)
         stalled_ms = replica.now_ms() - before_ms - step_ms
-        if stalled_ms > step_ms:
+        try:
+            if stalled_ms > step_ms:
+                replica.postpone_election()
+            else:
+                _check(replica)
+        except DamasklandingError:
             replica.postpone_election()
-        elif replica.leadership is not None:
-            replica.leadership.check_quorum()
-        elif replica.election_wanted.is_set():
-            replica.election_wanted.clear()
-            campaign(replica, transfer=True)
-        elif replica.election_due():
-            campaign(replica)
+
+
+def _check(replica):
+    if replica.leadership is not None:
+        replica.leadership.check_quorum()
+    elif replica.election_wanted.is_set():
+        replica.election_wanted.clear()
+        campaign(replica, transfer=True)
+    elif replica.election_due():
+        campaign(replica)
 
 
 def campaign(replica, transfer=False):
--- a/damasklanding/control/founding.py
+++ b/damasklanding/control/founding.py
@@ -18,7 +18,7 @@
 from damasklanding.errors import DamasklandingError
 from damasklanding.wire import StatusRequest
 
-__all__ = ['choose_incarnation', 'stored_incarnation']
+__all__ = ['choose_incarnation', 'renew_incarnation', 'stored_incarnation']
 
 FILE_NAME = 'incarnation'
 ASK_TIMEOUT_MS = 1_000
@@ -43,11 +43,18 @@
     :param groups: names of the replication groups.
     :param send: function of host name, message and timeout.
     """
-    incarnation = os.urandom(8).hex()
     if bootstrap and _all_untouched(names, groups, send):
-        incarnation = FOUNDING
-    path = os.path.join(folder, FILE_NAME)
-    in_thread(write_file, path, incarnation.encode())
+        return in_thread(_store, folder, FOUNDING)
+    return in_thread(renew_incarnation, folder)
+
+
+def renew_incarnation(folder):
+    """Store a new random incarnation and return it; blocks."""
+    return _store(folder, os.urandom(8).hex())
+
+
+def _store(folder, incarnation):
+    write_file(os.path.join(folder, FILE_NAME), incarnation.encode())
     return incarnation
 
 
--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -24,8 +24,10 @@
 from damasklanding.control.members import Member
 from damasklanding.control.replica import Replica
 from damasklanding.control.storage import locked_folder
+from damasklanding.errors import Conflict
 from damasklanding.errors import LinkTimeout
 from damasklanding.errors import Unavailable
+from damasklanding.fleet.changes import put
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import Outcome
 from damasklanding.fleet.commands import PutControlHost
@@ -167,7 +169,7 @@
         Add or remove a control host in every group.
 
         :param change: :class:`~damasklanding.control.members.MemberChange`.
-        :raises Conflict: another change is under way.
+        :raises Conflict: another change was under way all the time.
         :raises BadInput: the change makes no sense, or would leave no
             quorum.
         """
@@ -216,7 +218,7 @@
             left_ms = deadline_ms - self._now_ms()
             try:
                 return replica.propose(payload, max(left_ms, 1), kind)
-            except Unavailable:
+            except (Unavailable, Conflict):
                 if left_ms <= RETRY_MS:
                     raise
             gevent.sleep(RETRY_MS / 1000)
@@ -233,7 +235,9 @@
             operator='',
             command=PutControlHost(control_host=host),
         )
-        while True:
+        while self.view.age_ms() == float('inf'):
+            gevent.sleep(RETRY_MS / 1000)
+        while put(self.view.state, 'control_host', host, 0):
             try:
                 self.propose(envelope)
                 return
--- a/damasklanding/control/journal.py
+++ b/damasklanding/control/journal.py
@@ -238,20 +238,24 @@
         self._stopping = True
         self._wanted.set()
         self._writer.join()
-        self._file.close()
+        self._wake()
+        with self._vote_lock, self._snapshot_lock:
+            self._file.close()
 
     def _store_vote(self):
         with self._vote_lock:
+            self._check()
             vote = self.vote
             if vote != self._durable_vote:
-                in_thread(self._write_vote, vote)
+                self._write_small(self._write_vote, vote)
                 self._durable_vote = vote
 
     def _store_snapshot(self, snapshot, keep_entries):
         with self._snapshot_lock:
+            self._check()
             if snapshot.index <= self.snapshot.index:
                 return
-            in_thread(self._write_snapshot, snapshot)
+            self._write_small(self._write_snapshot, snapshot)
             self.snapshot = snapshot
         if self.term_at(snapshot.index) == snapshot.term:
             self._drop_before(snapshot.index - keep_entries)
@@ -261,7 +265,20 @@
         self._appended += 1
         self._wanted.set()
 
+    def _write_small(self, function, value):
+        try:
+            in_thread(function, value)
+        except OSError as error:
+            self._fail(error)
+            self._check()
+
+    def _fail(self, error):
+        self.error = error
+        _log_failure(self.folder, error)
+
     def _check(self):
+        if self._stopping:
+            raise Unavailable(f'{self.folder} is closed')
         if self.error is not None:
             raise Unavailable(
                 f'{self.folder} can not be written ({self.error})',
@@ -299,7 +316,7 @@
                 while not self._stopping and self._synced < self._appended:
                     self._write_once()
             except OSError as error:
-                self.error = error
+                self._fail(error)
                 self._wake()
                 return
 
@@ -419,3 +436,9 @@
         self._reset(snapshot)
         batch = _batch_of([], self.base_index, self.base_term)
         self._start_segment(_frame(batch))
+
+
+def _log_failure(folder, error):
+    from loguru import logger
+
+    logger.error('{} can not be written: {}', folder, error)
--- a/damasklanding/control/members.py
+++ b/damasklanding/control/members.py
@@ -135,7 +135,10 @@
 
     def __init__(self, index, members):
         self._changes = [(index, members)]
+        self._base_index = index
         self._settled = index
+        self._marked_at = 0
+        self._marked = index
 
     @property
     def current(self):
@@ -156,6 +159,9 @@
         """Forget the changes at and after an index."""
         while len(self._changes) > 1 and self._changes[-1][0] >= index:
             self._changes.pop()
+        if self._marked_at >= index:
+            self._marked_at = 0
+            self._marked = self._base_index
 
     def settle(self, index):
         """Note that the change at an index is known to be committed."""
@@ -163,6 +169,20 @@
         while len(self._changes) > 1 and self._changes[1][0] <= index:
             self._changes.pop(0)
 
+    def mark(self, marker_index, index):
+        """Note the log's marker that the change at an index is settled."""
+        self.settle(index)
+        self._marked_at = marker_index
+        self._marked = index
+
+    def is_marked(self):
+        """Return whether the log marks the latest change as settled."""
+        return self._marked >= self.changed_at
+
+    def is_finished(self, commit_index):
+        """Return whether a quorum knows that the change is settled."""
+        return self.is_marked() and self._marked_at <= commit_index
+
     def is_settled(self):
         """Return whether the latest change is known to be committed."""
         return self._settled >= self.changed_at
--- /dev/null
+++ b/damasklanding/control/recovery.py
@@ -0,0 +1,72 @@
+"""
+damasklanding.control.recovery
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Last resort after the loss of a quorum: lets one surviving data folder go on
+alone.  Entries that only the lost hosts had are gone.
+"""
+
+import os
+
+from damasklanding.control.founding import renew_incarnation
+from damasklanding.control.founding import stored_incarnation
+from damasklanding.control.journal import VOTE_NAME
+from damasklanding.control.journal import Journal
+from damasklanding.control.journal import Vote
+from damasklanding.control.members import Member
+from damasklanding.control.members import encode_members
+from damasklanding.control.storage import locked_folder
+from damasklanding.errors import NotFound
+from damasklanding.wire import LogEntry
+
+__all__ = ['continue_alone']
+
+
+def continue_alone(data_folder, name, address):
+    """
+    Make a stopped control host the only member of all its groups.
+
+    The folder gets a new incarnation, so that it can't lend its old vote
+    to lost hosts that come back.
+
+    :return: last index by group.
+    :raises NotFound: the folder holds no groups.
+    """
+    with locked_folder(data_folder):
+        groups = _groups(data_folder)
+        if not groups or not stored_incarnation(data_folder):
+            raise NotFound(
+                f'{data_folder} holds no group',
+                'name the data folder of a stopped control host',
+            )
+        member = Member(name, address, renew_incarnation(data_folder))
+        return {
+            group: _rewrite(os.path.join(data_folder, group), member)
+            for group in groups
+        }
+
+
+def _groups(data_folder):
+    return sorted(
+        name
+        for name in os.listdir(data_folder)
+        if os.path.exists(os.path.join(data_folder, name, VOTE_NAME))
+    )
+
+
+def _rewrite(folder, member):
+    journal = Journal(folder)
+    term = journal.vote.term + 1
+    index = journal.last_index + 1
+    journal.vote = Vote(term, member.name)
+    journal.sync_vote()
+    marker = str(index).encode()
+    journal.append(
+        [
+            LogEntry(term, index, 'members', encode_members((member,))),
+            LogEntry(term, index + 1, 'settled', marker),
+        ]
+    )
+    journal.sync()
+    journal.close()
+    return index
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -346,7 +346,7 @@
             members = decode_members(entry.payload)
             self.membership.change(entry.index, members)
         elif entry.kind == 'settled':
-            self.membership.settle(int(entry.payload))
+            self.membership.mark(entry.index, int(entry.payload))
 
     def _append(self, entries):
         first = entries[0].index
@@ -499,7 +499,7 @@
         self.membership.settle(index)
         if self.leadership is None:
             return
-        self.leadership.append('settled', str(index).encode())
+        self.leadership.mark_settled()
         self.leadership.follow_members()
         if not self.is_voter():
             gevent.spawn(self._retire)
@@ -510,8 +510,12 @@
 
     def _cut_log(self):
         with self._snapshot_lock:
-            if snapshot_due(self) and not self.installing:
+            if not snapshot_due(self) or self.installing:
+                return
+            try:
                 take_snapshot(self)
+            except Unavailable:
+                self.step_down('its log can not be cut')
 
     def _hand_over(self):
         with gevent.Timeout(HAND_OVER_LIMIT_MS / 1000, False):
--- a/damasklanding/control/replication.py
+++ b/damasklanding/control/replication.py
@@ -176,12 +176,12 @@
         :raises BadInput: the change makes no sense, or the voters left
             would not reach a quorum now.
         """
+        members = changed_members(self.replica.membership.current, change)
         if not self._may_change_members():
             raise Conflict(
                 'another change of members is under way',
                 'wait until it is accepted and send this again',
             )
-        members = changed_members(self.replica.membership.current, change)
         if not quorum_reached(members, self._is_alive):
             raise BadInput(
                 f'without {change.name} no quorum answers now',
@@ -189,10 +189,18 @@
             )
         return members
 
+    def mark_settled(self):
+        """Let the log tell that the latest change of members stands."""
+        membership = self.replica.membership
+        if membership.is_settled() and not membership.is_marked():
+            index = str(membership.changed_at).encode()
+            self.append('settled', index)
+
     def _may_change_members(self):
+        commit_index = self.replica.commit_index
         return (
-            self.replica.membership.is_settled()
-            and self.replica.commit_index >= self.first_index
+            commit_index >= self.first_index
+            and self.replica.membership.is_finished(commit_index)
         )
 
     def _is_alive(self, member):
@@ -287,6 +295,7 @@
                 timing.election_min_ms,
             )
             if not self.is_over():
+                self.mark_settled()
                 self._admit(peer)
             gevent.sleep(timing.heartbeat_ms / 1000)
 
--- a/damasklanding/control/storage.py
+++ b/damasklanding/control/storage.py
@@ -15,6 +15,7 @@
 
 from damasklanding.errors import BadSetting
 from damasklanding.errors import CorruptStore
+from damasklanding.errors import DamasklandingError
 
 __all__ = [
     'in_thread',
@@ -37,7 +38,17 @@
 
 def shielded(function, *arguments):
     """Run a function to its end even if the caller is killed meanwhile."""
-    return gevent.spawn(function, *arguments).get()
+    result, error = gevent.spawn(_outcome, function, arguments).get()
+    if error is not None:
+        raise error
+    return result
+
+
+def _outcome(function, arguments):
+    try:
+        return function(*arguments), None
+    except (DamasklandingError, OSError) as error:
+        return None, error
 
 
 def sync_folder(path):
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -7,6 +7,7 @@
 
 from contextlib import contextmanager
 import os
+import shutil
 
 import gevent
 import msgspec
@@ -75,6 +76,8 @@
         if server is None:
             server = self._listen(name, dict(self.addresses)[name])
             self._servers[name] = server
+        if name not in dict(self.addresses):
+            self.addresses += ((name, server.address),)
         settings = Settings(
             name=name,
             roles=('control',),
@@ -95,6 +98,21 @@
         host.start()
         return host
 
+    def add(self, name):
+        """Start an empty host that is not a member yet."""
+        self._servers[name] = self._listen(name)
+        return self.start(name, bootstrap=False)
+
+    def kill(self, name):
+        host = self.hosts[name]
+        for replica in host._replicas.values():
+            replica.stop(hand_over=False)
+        self.stop(name)
+
+    def wipe(self, name):
+        self.kill(name)
+        shutil.rmtree(self.folder_of(name))
+
     def start_all(self):
         for name, _ in self.addresses:
             self.start(name)
--- a/tests/replica_net.py
+++ b/tests/replica_net.py
@@ -205,9 +205,8 @@
                 for member in replica.membership.current
                 if member.voter
             }
-            return replica.membership.is_settled() and (
-                known == self.incarnations
-            )
+            finished = replica.membership.is_finished(replica.commit_index)
+            return finished and known == self.incarnations
         return False
 
     def heal(self):
--- /dev/null
+++ b/tests/test_host.py
@@ -0,0 +1,211 @@
+import os
+
+from control_cluster import cluster
+from control_cluster import envelope
+from control_cluster import eventually
+from control_cluster import propose
+import gevent
+import pytest
+
+from damasklanding.control.host import ControlHost
+from damasklanding.control.members import FOUNDING
+from damasklanding.control.members import MemberChange
+from damasklanding.control.recovery import continue_alone
+from damasklanding.errors import BadInput
+from damasklanding.errors import CorruptStore
+from damasklanding.errors import DamasklandingError
+from damasklanding.errors import NotFound
+from damasklanding.fleet.commands import PutProfile
+from damasklanding.fleet.commands import SetDataCentre
+from damasklanding.fleet.resources import Profile
+from damasklanding.wire import StatusRequest
+
+
+def change(fleet, number):
+    command = PutProfile(profile=Profile(name='desk', weight=number + 1))
+    return propose(fleet.client(), envelope(command, f'change-{number}'))
+
+
+def voters(host):
+    return {
+        member.name
+        for member in host.config.membership.current
+        if member.voter and member.incarnation
+    }
+
+
+def finished(host):
+    return host.config.membership.is_finished(host.config.commit_index)
+
+
+def settled_voters(fleet, *names):
+    def settled():
+        leader = fleet.leader()
+        return finished(leader) and voters(leader) == set(names)
+
+    eventually(settled)
+
+
+def incarnation_known(fleet, host):
+    def known():
+        leader = fleet.leader()
+        member = leader.config.membership.get(host.settings.name)
+        return finished(leader) and member.incarnation == host.incarnation
+
+    eventually(lambda: host.incarnation)
+    eventually(known)
+
+
+def test_restart_of_all_hosts_after_hundreds_of_changes(tmp_path):
+    with cluster(tmp_path) as fleet:
+        fleet.start_all()
+        for number in range(300):
+            assert not change(fleet, number).error
+        fleet.settled()
+        before = fleet.leader()._machine.snapshot()
+        for name in list(fleet.hosts):
+            fleet.kill(name)
+        fleet.start_all()
+        fleet.settled()
+        for host in fleet.hosts.values():
+            assert host._machine.snapshot() == before
+        assert change(fleet, 7).revision == change(fleet, 7).revision
+
+
+def test_wiped_host_does_not_found_a_fleet_and_is_readmitted(tmp_path):
+    with cluster(tmp_path) as fleet:
+        leader = fleet.start_all()
+        change(fleet, 1)
+        wiped = next(n for n in fleet.hosts if n != leader.settings.name)
+        fleet.wipe(wiped)
+        host = fleet.start(wiped, bootstrap=True)
+        incarnation_known(fleet, host)
+        assert host.incarnation != FOUNDING
+        fleet.kill(fleet.leader().settings.name)
+        assert not change(fleet, 2).error
+
+
+def test_founding_waits_for_every_configured_host(tmp_path):
+    with cluster(tmp_path) as fleet:
+        for name in ('c1', 'c2'):
+            fleet.start(name)
+        gevent.sleep(0.5)
+        assert [h.incarnation for h in fleet.hosts.values()] == ['', '']
+        fleet.start('c3')
+        fleet.leader()
+
+
+def test_lost_control_host_is_replaced_by_another(tmp_path):
+    with cluster(tmp_path) as fleet:
+        leader = fleet.start_all()
+        for number in range(20):
+            change(fleet, number)
+        lost = next(n for n in fleet.hosts if n != leader.settings.name)
+        fleet.wipe(lost)
+        fleet.add('c4')
+        address = dict(fleet.addresses)['c4']
+        any_host = next(iter(fleet.hosts.values()))
+        any_host.change_members(MemberChange('add', 'c4', address))
+        settled_voters(fleet, 'c1', 'c2', 'c3', 'c4')
+        any_host.change_members(MemberChange('remove', lost))
+        others = {'c1', 'c2', 'c3', 'c4'} - {lost}
+        settled_voters(fleet, *others)
+        fleet.kill(leader.settings.name)
+        assert not change(fleet, 99).error
+        fleet.settled()
+        assert fleet.hosts['c4'].view.state.get('profile', 'desk').weight == (
+            100
+        )
+
+
+def test_leader_that_is_removed_hands_over(tmp_path):
+    with cluster(tmp_path) as fleet:
+        leader = fleet.start_all()
+        name = leader.settings.name
+        leader.change_members(MemberChange('remove', name))
+        eventually(lambda: leader.config.leadership is None)
+        eventually(lambda: fleet.leader() is not leader)
+        assert not change(fleet, 1).error
+        settled_voters(fleet, *({'c1', 'c2', 'c3'} - {name}))
+
+
+@pytest.mark.parametrize(
+    'wrong',
+    [
+        MemberChange('promote', 'c1'),
+        MemberChange('add', 'c1', '127.0.0.1:1'),
+        MemberChange('remove', 'c2'),
+    ],
+)
+def test_change_of_members_that_makes_no_sense_is_refused(tmp_path, wrong):
+    with cluster(tmp_path) as fleet:
+        leader = fleet.start_all()
+        name = leader.settings.name
+        if wrong.action == 'remove':
+            # Without this follower the two left would need the dead one.
+            follower, dead = sorted(set(fleet.hosts) - {name})
+            fleet.kill(dead)
+            gevent.sleep(fleet.timing.election_max_ms / 1000 * 1.5)
+            wrong = MemberChange('remove', follower)
+        with pytest.raises(BadInput):
+            fleet.leader().change_members(wrong)
+        assert not change(fleet, 1).error
+
+
+def test_survivor_goes_on_alone_after_the_loss_of_a_quorum(tmp_path):
+    with cluster(tmp_path) as fleet:
+        fleet.start_all()
+        for number in range(10):
+            change(fleet, number)
+        fleet.settled()
+        for name in list(fleet.hosts):
+            fleet.kill(name)
+        folder = fleet.folder_of('c2')
+        assert continue_alone(folder, 'c2', dict(fleet.addresses)['c2'])
+        host = fleet.start('c2')
+        eventually(lambda: host.config.confirmed_age_ms() < 1_000)
+        assert not change(fleet, 50).error
+        assert host.view.state.get('profile', 'desk').weight == 51
+        with pytest.raises(NotFound):
+            continue_alone(str(tmp_path), 'c2', '127.0.0.1:1')
+
+
+def test_damaged_folder_stops_the_start_until_it_is_moved(tmp_path):
+    with cluster(tmp_path) as fleet:
+        leader = fleet.start_all()
+        change(fleet, 1)
+        name = next(n for n in fleet.hosts if n != leader.settings.name)
+        fleet.kill(name)
+        folder = os.path.join(fleet.folder_of(name), 'config')
+        path = next(p for p in os.listdir(folder) if p.startswith('segment'))
+        with open(os.path.join(folder, path), 'r+b') as file:
+            file.seek(30)
+            file.write(b'damage')
+        with pytest.raises(CorruptStore, match='move the data folder aside'):
+            fleet.start(name)
+        os.rename(fleet.folder_of(name), str(tmp_path / 'aside'))
+        host = fleet.start(name)
+        incarnation_known(fleet, host)
+
+
+def test_status_and_history_tell_what_happened(tmp_path):
+    with cluster(tmp_path) as fleet:
+        leader = fleet.start_all()
+        sent = envelope(SetDataCentre(name='dar-a', out=True), 'r1')
+        outcome = leader.propose(sent)
+        (entry,) = leader.history(10)
+        assert (entry.revision, entry.operator) == (outcome.revision, 'mia')
+        assert entry.issued_at_ms > 0
+        (group,) = leader.status().groups
+        assert (group.role, len(group.members)) == ('leader', 3)
+        for name in ('c1', 'c2', 'c3'):
+            eventually(lambda n=name: leader.view.state.get('control_host', n))
+
+
+def test_messages_for_an_unknown_group_are_refused(tmp_path):
+    with cluster(tmp_path, 1) as fleet:
+        leader = fleet.start_all()
+        handler = leader.handlers()[StatusRequest]
+        with pytest.raises(DamasklandingError):
+            handler(None, StatusRequest('nonsense'))
+        assert isinstance(leader, ControlHost)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -183,6 +183,9 @@
         with pytest.raises(Unavailable, match='no space left'):
             journal.sync()
     assert journal.durable_index == 0
+    journal.vote = Vote(2, 'b')
+    with pytest.raises(Unavailable, match='no space left'):
+        journal.sync_vote()
     journal.close()
 
 
