Bound proposals, and keep older members until the log is cut

A proposal above 1 MiB would have grown into a frame that no peer accepts and stopped replication for good; it is refused. Two requests that failed at once made the client skip a control host. A control host announces the address that it advertises.

--- a/damasklanding/control/client.py
+++ b/damasklanding/control/client.py
@@ -59,24 +59,26 @@
                 left_ms = deadline_ms - self._now_ms()
                 if left_ms <= 0:
                     raise _unanswered(message, timeout_ms, may_have_run)
-                address = self._addresses[self._next]
+                turn = self._next
+                address = self._addresses[turn]
                 try:
                     link = self._pool.get(address)
                 except Unavailable:
-                    self._turn()
+                    self._turn_from(turn)
                     continue
                 try:
                     return link.request(message, min(left_ms, ATTEMPT_MS))
                 except NotLeader:
-                    self._turn()
+                    self._turn_from(turn)
                 except Unavailable:
                     may_have_run = True
                     self._drop_silent(address, link)
-                    self._turn()
+                    self._turn_from(turn)
             gevent.sleep(PAUSE_MS / 1000)
 
-    def _turn(self):
-        self._next = (self._next + 1) % len(self._addresses)
+    def _turn_from(self, turn):
+        if self._next == turn:
+            self._next = (turn + 1) % len(self._addresses)
 
     def _drop_silent(self, address, link):
         if link.silent_ms() > ATTEMPT_MS / 2:
--- a/damasklanding/control/election.py
+++ b/damasklanding/control/election.py
@@ -26,7 +26,7 @@
         replica.election_wanted.wait(step_ms / 1000)
         stalled_ms = replica.now_ms() - before_ms - step_ms
         try:
-            if stalled_ms > step_ms:
+            if stalled_ms > replica.timing.election_min_ms / 2:
                 replica.postpone_election()
             else:
                 _check(replica)
--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -227,7 +227,7 @@
         settings = self.settings
         host = ControlHostResource(
             name=settings.name,
-            peer_address=settings.peer_address,
+            peer_address=settings.advertise_address or settings.peer_address,
             admin_address=settings.admin_address,
         )
         envelope = Envelope(
--- a/damasklanding/control/members.py
+++ b/damasklanding/control/members.py
@@ -166,6 +166,9 @@
     def settle(self, index):
         """Note that the change at an index is known to be committed."""
         self._settled = max(self._settled, index)
+
+    def forget_before(self, index):
+        """Drop the members that were replaced at or before an index."""
         while len(self._changes) > 1 and self._changes[1][0] <= index:
             self._changes.pop(0)
 
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -30,6 +30,7 @@
 from damasklanding.errors import BadInput
 from damasklanding.errors import CorruptStore
 from damasklanding.errors import NotLeader
+from damasklanding.errors import TooLarge
 from damasklanding.errors import Unavailable
 from damasklanding.wire import AppendReply
 from damasklanding.wire import AppendRequest
@@ -46,6 +47,7 @@
 PROPOSE_TIMEOUT_MS = 3_000
 LEADER_POLL_MS = 10
 APPLY_CHUNK = 64
+MAX_PAYLOAD_BYTES = 1_048_576
 PROPOSED_KINDS = ('command', 'members')
 HAND_OVER_LIMIT_MS = 500
 
@@ -125,6 +127,13 @@
         self._deadline_ms = 0
         self._greenlets = []
         self._snapshot_lock = BoundedSemaphore(1)
+        self._handlers = {
+            VoteRequest: self._handle_vote,
+            AppendRequest: self._handle_append,
+            SnapshotChunk: self._handle_snapshot,
+            StatusRequest: self._handle_status,
+            Propose: self._handle_propose,
+        }
         if journal.snapshot.index:
             machine.restore(journal.snapshot.state)
 
@@ -166,13 +175,7 @@
 
     def handlers(self):
         """Return functions by message class for this group's messages."""
-        return {
-            VoteRequest: self._handle_vote,
-            AppendRequest: self._handle_append,
-            SnapshotChunk: self._handle_snapshot,
-            StatusRequest: self._handle_status,
-            Propose: self._handle_propose,
-        }
+        return self._handlers
 
     def propose(self, payload, timeout_ms=PROPOSE_TIMEOUT_MS, kind='command'):
         """
@@ -184,8 +187,11 @@
             :class:`~damasklanding.control.members.MemberChange`.
         :return: bytes that the machine's ``apply`` returned.
         :raises NotLeader: nothing was proposed.
+        :raises TooLarge: the payload is above 1 MiB.
         :raises Unavailable: the outcome is unknown.
         """
+        if len(payload) > MAX_PAYLOAD_BYTES:
+            raise TooLarge(f'a proposal of {len(payload)} bytes')
         deadline_ms = self.now_ms() + timeout_ms
         while True:
             left_ms = deadline_ms - self.now_ms()
--- a/damasklanding/control/snapshots.py
+++ b/damasklanding/control/snapshots.py
@@ -47,6 +47,7 @@
     )
     keep = min(KEPT_ENTRIES, replica.timing.snapshot_entries // 4)
     replica.journal.save_snapshot(snapshot, keep)
+    replica.membership.forget_before(index)
 
 
 def send_snapshot(leadership, peer):
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -21,9 +21,10 @@
 from damasklanding.wire import StatusRequest
 
 
-def change(fleet, number):
+def change(fleet, number, client=None):
     command = PutProfile(profile=Profile(name='desk', weight=number + 1))
-    return propose(fleet.client(), envelope(command, f'change-{number}'))
+    sent = envelope(command, f'change-{number}')
+    return propose(client or fleet.client(), sent)
 
 
 def voters(host):
@@ -59,8 +60,9 @@
 def test_restart_of_all_hosts_after_hundreds_of_changes(tmp_path):
     with cluster(tmp_path) as fleet:
         fleet.start_all()
+        client = fleet.client()
         for number in range(300):
-            assert not change(fleet, number).error
+            assert not change(fleet, number, client).error
         fleet.settled()
         before = fleet.leader()._machine.snapshot()
         for name in list(fleet.hosts):
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,65 @@
+import pytest
+
+from damasklanding.control.members import Member
+from damasklanding.control.members import Membership
+from damasklanding.control.members import quorum_reached
+from damasklanding.control.members import quorum_value
+
+A, B, C, D = (Member(name, name) for name in 'abcd')
+C2 = Member('c', 'c', 'second life')
+LEARNER = Member('e', 'e', voter=False)
+
+
+@pytest.mark.parametrize(
+    ('members', 'values', 'expected'),
+    [
+        ((A,), {'a': 7}, 7),
+        ((A, B), {'a': 7, 'b': 3}, 3),
+        ((A, B, C), {'a': 7, 'b': 3, 'c': 5}, 5),
+        ((A, B, C, D), {'a': 7, 'b': 3, 'c': 5, 'd': 4}, 4),
+        ((A, B, C, LEARNER), {'a': 7, 'b': 3, 'c': 5, 'e': 9}, 5),
+    ],
+)
+def test_quorum_value_is_reached_by_more_than_half(members, values, expected):
+    assert quorum_value(members, lambda m: values[m.name]) == expected
+    for limit in range(1, 10):
+        reached = quorum_reached(
+            members, lambda m, limit=limit: values[m.name] >= limit
+        )
+        assert reached == (limit <= expected)
+
+
+def test_change_needs_both_electorates_until_it_is_settled():
+    membership = Membership(0, (A, B, C))
+    membership.change(5, (A, B, C2))
+    assert membership.electorates() == ((A, B, C), (A, B, C2))
+    membership.settle(5)
+    assert membership.electorates() == ((A, B, C2),)
+    assert not membership.is_marked()
+    membership.mark(6, 5)
+    assert not membership.is_finished(5)
+    assert membership.is_finished(6)
+
+
+def test_truncation_takes_back_a_change_and_a_marker():
+    membership = Membership(0, (A, B, C))
+    membership.change(5, (A, B, C2))
+    membership.truncate(5)
+    assert membership.electorates() == ((A, B, C),)
+    membership.change(7, (A, B))
+    membership.mark(8, 7)
+    membership.truncate(8)
+    assert membership.current == (A, B)
+    assert not membership.is_marked()
+    # That the change is accepted was true and stays so.
+    assert membership.is_settled()
+
+
+def test_marker_that_runs_ahead_of_the_state_keeps_older_members():
+    membership = Membership(0, (A, B, C))
+    membership.change(5, (A, B))
+    membership.mark(6, 5)
+    assert membership.at(4) == (A, B, C)
+    assert membership.at(5) == (A, B)
+    membership.forget_before(5)
+    assert membership.at(5) == (A, B)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -5,6 +5,8 @@
 from replica_net import Net
 from replica_net import eventually
 
+from damasklanding.errors import TooLarge
+
 
 @contextmanager
 def net(folder, **options):
@@ -163,3 +165,13 @@
         gevent.joinall(jobs)
         fleet.converge()
         fleet.check_converged()
+
+
+def test_proposal_too_large_to_replicate_is_refused(tmp_path):
+    with net(tmp_path) as fleet:
+        leader = fleet.leader()
+        with pytest.raises(TooLarge):
+            leader.propose(bytes(1_048_577))
+        assert leader.propose(bytes(1_048_576))
+        fleet.converge()
+        fleet.check()
