Learn the concurrency limit from service times in three phases

A plain additive limit can't tell a backend server that is cold from one that is slow, and finds no limit where overload only shows as latency. A cold one is now paced by its age, a warm one by the mean ratio of a window of answers, and signs of trouble hold new calls until single probes decide between cold and slow.

--- a/damasklanding/policy/gate.py
+++ b/damasklanding/policy/gate.py
@@ -8,6 +8,7 @@
 
 from contextlib import contextmanager
 
+import gevent
 from gevent.event import Event
 
 from damasklanding.clock import monotonic_ms
@@ -40,6 +41,7 @@
         self.result = Result.CANCELLED
         self.service_time_ms = None
         self._now_ms = now_ms
+        self.went_onward = False
         self._onward = 0
         self._onward_since_ms = 0.0
         self._onward_ms = 0.0
@@ -63,11 +65,13 @@
         if not self._onward:
             self._onward_since_ms = now_ms
         self._onward += 1
+        self.went_onward = self.call.onward = True
         try:
             yield
         finally:
             self._onward -= 1
             if not self._onward:
+                self.call.onward = False
                 self._onward_ms += self._now_ms() - self._onward_since_ms
 
     def own_time_ms(self):
@@ -94,6 +98,7 @@
         self.draining = False
         self._now_ms = now_ms
         self._service_time_ms = 0.0
+        self._timer = None
 
     @contextmanager
     def admit(self, work):
@@ -189,7 +194,9 @@
         time_ms = slot.service_time_ms
         if slot.result is Result.OK and time_ms is not None:
             self._smooth(time_ms)
-        self.limiter.end(slot.call, slot.result, slot.own_time_ms())
+        self.limiter.end(
+            slot.call, slot.result, slot.own_time_ms(), slot.went_onward
+        )
         self._dispatch()
 
     def _smooth(self, time_ms):
@@ -203,6 +210,14 @@
             waiter = ticket.context
             waiter.call = self.limiter.begin(ticket.work.profile)
             waiter.event.set()
+        if len(self.queue) and not self.limiter.running:
+            self._wake_later()
+
+    def _wake_later(self):
+        if self._timer is not None:
+            self._timer.kill(block=False)
+        pause_s = self.limiter.pause_ms() / 1000.0
+        self._timer = gevent.spawn_later(pause_s, self._dispatch)
 
     def _refusal(self, work, waited_long):
         if waited_long:
--- a/damasklanding/policy/limiter.py
+++ b/damasklanding/policy/limiter.py
@@ -3,29 +3,94 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Adaptive concurrency limit of one backend server, learned at its own node
-from service times and shed answers.
+from service times and shed answers.  A cold backend server is paced by the
+time since its start; a warm one by the mean of its service times; a sign of
+trouble holds new calls until single probes have told which of the two it is.
 """
 
 from dataclasses import dataclass
+from enum import Enum
+from math import sqrt
 
+from damasklanding.policy.latency import Baselines
+from damasklanding.policy.latency import Fall
+from damasklanding.policy.latency import Rise
+from damasklanding.policy.latency import Verdict
+from damasklanding.policy.latency import Window
 from damasklanding.policy.work import Result
 
-__all__ = ['Call', 'Limiter']
+__all__ = ['Call', 'Limiter', 'Phase']
 
 COLD_LIMIT = 1
 MAX_LIMIT = 1_000
-LATE_RATIO = 2.0
-BACK_OFF = 0.8
-SIGNS = frozenset((Result.SHED, Result.RESET, Result.TIMEOUT))
+
+# Cold: doubles while nothing speaks against it, else grows along a line.
+FIRST_STEP_MS = 250.0
+DOUBLING_MS = 400.0
+MAX_DOUBLINGS = 10.0
+PACE_SHARE = 0.85
+PROVEN_RATIO = 1.5
+PROVEN_GROWTH = 1.3  # above the highest load that was answered in time
+COLD_MAX_MS = 30_000.0
+COLD_QUIET_MS = 5_000.0  # ends a cold start without a sign of overload
+BATCH_SHARE = 0.25  # of the calls in progress
+SAME_LEVEL_RATIO = 1.15
+LATER_RATIO = 1.5
+LEAST_STEADY_LEVEL = 8
+
+# Warm: by the mean ratio of a window of answers.
+GROW_BELOW = 1.10
+SHRINK_ABOVE = 1.20
+FAST_GROWTH = 1.5
+SLOW_GROWTH = 0.03
+SURE_SCORES = 2.5
+SHRINK_MOST = 0.8
+SHRUNK_ENOUGH = 0.7  # share of the former limit after which it is judged
+IN_USE_SHARE = 0.8
+LOW_LOAD_SHARE = 0.75
+MIN_WINDOW = 10
+CEILING_MS = 5_000.0  # a shed answer's limit is tried again after this time
+FALL_RATIO_LOG = 0.9
+FALL_ALARM = 2.0
+
+# Held: what ends it.
+SLOWER_LOG = 0.4
+PROBED_ENOUGH = 0.6
+NORMAL_ANSWERS = 3
+SLOWER_RATIO = 1.6
+RESUME_SHARE = 0.25
+SHED_PAUSE_MS = 100.0
+FAILURE_RATIO = 4.0  # a failure counts like an answer of such a ratio
+PROVEN_SHARE = 0.8  # a shed answer below this share of the proven load
+OVERDUE_SCAN = 16
+OVERDUE_SHARE = 0.1
+
+TROUBLE = frozenset((Result.FAILED, Result.RESET, Result.TIMEOUT))
+
+
+class Phase(Enum):
+    """What the limiter takes the backend server for."""
+
+    COLD = 'cold'
+    WARM = 'warm'
+    HELD = 'held'
 
 
 @dataclass(slots=True, eq=False)
 class Call:
-    """A call in progress at the backend server."""
+    """
+    A call in progress at the backend server.
+
+    :ivar running: calls in progress, this one included, when it began.
+    :ivar onward: whether it waits for an onward call now.
+    :ivar probe: whether it began while new calls were held.
+    """
 
     profile: str
     started_ms: float
     running: int
+    onward: bool = False
+    probe: bool = False
 
 
 class Limiter:
@@ -37,53 +102,327 @@
 
     def __init__(self, now_ms):
         self._now_ms = now_ms
+        self._calls = {}
+        self._baselines = Baselines()
+        self._window = Window()
+        self._rise = Rise()
+        self._fall = Fall(FALL_RATIO_LOG, FALL_ALARM)
+        self._verdict = Verdict(SLOWER_LOG, PROBED_ENOUGH)
+        self._announced_cold = False
+        self._pause_until_ms = float('-inf')
+        self._known_limit = 0.0
         self._limit = float(COLD_LIMIT)
-        self._base_ms = {}
-        self._dropped_ms = now_ms()
-        self.running = 0
-        self.cold = True
+        self._start_cold(now_ms())
+
+    @property
+    def running(self):
+        """Return the number of calls in progress."""
+        return len(self._calls)
+
+    @property
+    def cold(self):
+        """Return whether the backend server counts as cold."""
+        return self.phase is not Phase.WARM
 
     @property
     def limit(self):
         """Return the limit in calls, at least 1."""
-        return int(self._limit)
+        if self.phase is Phase.COLD:
+            return self._cold_limit()
+        if self.phase is Phase.HELD:
+            return COLD_LIMIT
+        return max(COLD_LIMIT, int(self._limit))
 
     def has_room(self):
         """Return whether a call may start now."""
+        now_ms = self._now_ms()
+        if now_ms < self._pause_until_ms or self.running >= self.limit:
+            return False
+        late = self._overdue(now_ms)
+        if late is not None:
+            self._sign(late, FAILURE_RATIO)
         return self.running < self.limit
 
+    def pause_ms(self):
+        """Return how long no call may start whatever ends meanwhile."""
+        return max(0.0, self._pause_until_ms - self._now_ms())
+
     def begin(self, profile):
         """Count a call as running and return its :class:`Call`."""
-        self.running += 1
-        return Call(profile, self._now_ms(), self.running)
+        probe = self.phase is Phase.HELD
+        call = Call(profile, self._now_ms(), self.running + 1, probe=probe)
+        self._calls[call] = None
+        return call
+
+    def end(self, call, result, own_time_ms, went_onward=False):
+        """
+        Take a call off and learn from its result.
 
-    def end(self, call, result, service_time_ms):
-        """Take a call off and learn from its result."""
-        self.running -= 1
-        if result in SIGNS:
-            self._drop(call)
-        elif result is Result.OK:
-            self._learn(call, service_time_ms)
+        :param own_time_ms: service time without that of onward calls.
+        :param went_onward: whether it made onward calls, whose failures
+            say nothing about this backend server.
+        """
+        del self._calls[call]
+        if result is Result.OK:
+            self._answered(call, own_time_ms)
+        elif result is Result.SHED:
+            self._shed(call)
+        elif result in TROUBLE and not went_onward:
+            self._failed(call)
 
     def announce(self, cold, slots=0):
-        """Note the backend server's own word that it starts cold."""
-        if cold:
-            self.cold = True
-            self._limit = float(COLD_LIMIT)
-            self._dropped_ms = self._now_ms()
-
-    def _learn(self, call, service_time_ms):
-        base = self._base_ms.get(call.profile, service_time_ms)
-        if service_time_ms > base * LATE_RATIO:
-            self._drop(call)
-        elif call.running >= self.limit:
-            self._limit = min(MAX_LIMIT, self._limit + 1)
-            self.cold = False
-        base += (service_time_ms - base) * 0.05
-        self._base_ms[call.profile] = base
-
-    def _drop(self, call):
-        if call.started_ms < self._dropped_ms:
+        """
+        Note the backend server's own word.
+
+        Only a change to cold counts: announcements are repeated, and one
+        that is late must not end a cold start.
+
+        :param slots: upper hint, 0 where unknown.
+        """
+        if cold and not self._announced_cold:
+            self._known_limit = 0.0
+            self._start_cold(self._now_ms())
+        self._announced_cold = cold
+
+    # Phases.
+
+    def _start_cold(self, since_ms):
+        self.phase = Phase.COLD
+        self._cold_since_ms = since_ms
+        self._grown_since_ms = self._now_ms()
+        self._pace_per_ms = None
+        self._signs = []
+        self._level = COLD_LIMIT
+        self._restart()
+
+    def _start_warm(self, limit, fast):
+        self.phase = Phase.WARM
+        self._limit = float(limit)
+        self._fast = fast
+        self._knee = float(limit)
+        self._shrunk_from = None
+        self._ceiling = MAX_LIMIT
+        self._ceiling_until_ms = float('-inf')
+        self._restart()
+
+    def _start_held(self, sign):
+        self.phase = Phase.HELD
+        self._known_limit = self._limit
+        self._sign_started_ms = sign.started_ms
+        self._normal = 0
+        self._verdict.reset()
+        self._restart()
+
+    def _restart(self):
+        self._acted_ms = self._now_ms()
+        self._proven = 0
+        self._window.reset()
+        self._rise.reset()
+        self._fall.reset()
+
+    # Answers.
+
+    def _answered(self, call, time_ms):
+        name = call.profile
+        ratio = self._baselines.ratio(name, time_ms)
+        if not self._baselines.known(name):
+            self._baselines.learn(name, time_ms)
+        if self.phase is Phase.HELD:
+            self._answered_held(call, ratio)
+            return
+        if call.started_ms < self._acted_ms:
+            return
+        if ratio <= PROVEN_RATIO:
+            self._proven = max(self._proven, call.running)
+        if self.phase is Phase.COLD:
+            self._answered_cold(call, ratio, time_ms)
+        else:
+            self._answered_warm(call, ratio, time_ms)
+
+    def _answered_cold(self, call, ratio, time_ms):
+        if call.running <= max(1, LOW_LOAD_SHARE * self._level):
+            self._baselines.learn(call.profile, time_ms)
+        batch = max(1, int(BATCH_SHARE * call.running))
+        if self._rise.add(ratio, self._baselines.spread, batch):
+            self._back_off_cold(call, self._rise.mean_ratio())
+
+    def _answered_warm(self, call, ratio, time_ms):
+        if self._fall.add(ratio):
+            self._start_held(call)
+            return
+        if call.running <= LOW_LOAD_SHARE * self._knee:
+            self._baselines.learn(call.profile, time_ms)
+        self._window.add(ratio, call.running)
+        if self._window.count >= max(MIN_WINDOW, self._window_size()):
+            self._adjust()
+
+    def _answered_held(self, call, ratio):
+        if call.probe:
+            self._probed(ratio)
+        elif call.started_ms >= self._sign_started_ms:
+            self._normal = 0 if ratio > SLOWER_RATIO else self._normal + 1
+            if self._normal >= NORMAL_ANSWERS:
+                self._start_warm(self._known_limit, fast=False)
+
+    def _probed(self, ratio):
+        slower = self._verdict.add(ratio)
+        if slower is None:
+            return
+        if slower:
+            self._baselines.scale(self._verdict.mean_ratio())
+            self._resume_slower()
+        else:
+            self._start_cold(self._sign_started_ms)
+
+    def _resume_slower(self):
+        known_limit = self._known_limit
+        self._start_warm(max(2.0, RESUME_SHARE * known_limit), fast=True)
+        self._knee = max(self._knee, known_limit)
+
+    # Signs of trouble.
+
+    def _failed(self, call):
+        if self.phase is Phase.HELD:
+            if call.probe:
+                self._resume_slower()
+        elif call.started_ms < self._acted_ms:
+            return
+        elif self._fall.add(FAILURE_RATIO):
+            self._sign(call, FAILURE_RATIO)
+
+    def _shed(self, call):
+        if call.running <= COLD_LIMIT:
+            self._pause_until_ms = self._now_ms() + SHED_PAUSE_MS
+        if self.phase is Phase.HELD or call.started_ms < self._acted_ms:
+            return
+        if self.phase is Phase.COLD:
+            self._back_off_cold(call, 1.0)
+            self._level = max(COLD_LIMIT, call.running - 1)
+        elif call.running > PROVEN_SHARE * self._proven:
+            self._set_ceiling(call.running - 1)
+        else:
+            self._start_held(call)
+
+    def _sign(self, call, ratio):
+        if call.started_ms < self._acted_ms:
+            return
+        if self.phase is Phase.WARM:
+            self._start_held(call)
+        elif self.phase is Phase.COLD:
+            self._back_off_cold(call, ratio)
+
+    def _overdue(self, now_ms):
+        late = 0
+        needed = max(2, min(OVERDUE_SCAN / 2, OVERDUE_SHARE * self.running))
+        if self.running <= 2:
+            needed = 1
+        for scanned, call in enumerate(self._calls):
+            if scanned >= OVERDUE_SCAN:
+                break
+            late_ms = self._baselines.late_ms(call.profile)
+            if call.onward or now_ms - call.started_ms <= late_ms:
+                continue
+            late += call.started_ms >= self._acted_ms
+            if late >= needed:
+                return call
+        return None
+
+    # Cold.
+
+    def _cold_limit(self):
+        age_ms = self._now_ms() - self._cold_since_ms
+        proven = max(self._level, self._proven * PROVEN_GROWTH + 1)
+        limit = min(self._target(age_ms), proven, MAX_LIMIT)
+        limit = max(COLD_LIMIT, int(limit))
+        if self._known_limit and limit >= self._known_limit:
+            self._start_warm(limit, fast=False)
+        elif age_ms > (COLD_MAX_MS if self._signs else COLD_QUIET_MS):
+            self._start_warm(limit, fast=self._pace_per_ms is None)
+        return limit
+
+    def _target(self, age_ms):
+        if self._pace_per_ms is None:
+            grown_ms = self._now_ms() - self._grown_since_ms
+            doublings = (grown_ms - FIRST_STEP_MS) / DOUBLING_MS
+            return 2.0 ** min(MAX_DOUBLINGS, max(0.0, doublings))
+        return max(self._level, self._pace_per_ms * age_ms)
+
+    def _back_off_cold(self, call, ratio):
+        if call.running <= COLD_LIMIT and ratio > 1.0:
+            self._baselines.scale(ratio)
+            self._restart()
+            return
+        borne = min(call.running - 1, call.running / sqrt(ratio))
+        borne = max(COLD_LIMIT, borne)
+        age_ms = max(1.0, call.started_ms - self._cold_since_ms)
+        self._signs.append((age_ms, call.running))
+        if _is_steady(self._signs[-3:]):
+            self._start_warm(borne, fast=False)
+            return
+        self._pace_per_ms = PACE_SHARE * borne / age_ms
+        self._level = max(COLD_LIMIT, int(PACE_SHARE * borne))
+        self._restart()
+
+    # Warm.
+
+    def _window_size(self):
+        return self._limit if self._fast else 2 * self._limit
+
+    def _adjust(self):
+        ratio = self._window.ratio()
+        noise = self._baselines.spread / sqrt(self._window.count)
+        in_use = self._window.most_running >= IN_USE_SHARE * int(self._limit)
+        self._window.reset()
+        if ratio > max(SHRINK_ABOVE, 1.0 + SURE_SCORES * noise):
+            self._shrink(ratio)
             return
-        self._dropped_ms = self._now_ms()
-        self._limit = max(COLD_LIMIT, self._limit * BACK_OFF)
+        self._shrunk_from = None
+        if ratio < GROW_BELOW and in_use:
+            self._grow()
+
+    def _shrink(self, ratio):
+        if self._shrunk_from is None:
+            self._shrunk_from = (self._limit, ratio)
+        limit, first_ratio = self._shrunk_from
+        if self._limit <= max(COLD_LIMIT, SHRUNK_ENOUGH * limit):
+            if ratio > first_ratio * sqrt(self._limit / limit):
+                self._baselines.scale(ratio)
+                self._start_warm(limit, fast=False)
+                return
+            self._shrunk_from = (self._limit, ratio)
+        self._fast = False
+        factor = max(SHRINK_MOST, GROW_BELOW / ratio)
+        self._limit = max(float(COLD_LIMIT), self._limit * factor)
+        self._acted_ms = self._now_ms()
+
+    def _grow(self):
+        if self._fast:
+            limit = self._limit * FAST_GROWTH + 1
+        else:
+            limit = self._limit + max(1.0, SLOW_GROWTH * self._limit)
+        if self._now_ms() < self._ceiling_until_ms:
+            limit = min(limit, float(self._ceiling))
+        self._limit = min(float(MAX_LIMIT), limit)
+        self._knee = max(self._limit, self._knee * 0.99)
+
+    def _set_ceiling(self, limit):
+        self._ceiling = max(COLD_LIMIT, limit)
+        self._ceiling_until_ms = self._now_ms() + CEILING_MS
+        self._limit = min(self._limit, float(self._ceiling))
+        self._proven = min(self._proven, self._ceiling)
+        self._fast = False
+        self._acted_ms = self._now_ms()
+        self._window.reset()
+
+
+def _is_steady(signs):
+    """Return whether signs came at one level while time went on."""
+    if len(signs) < 3:
+        return False
+    age_ms, level = signs[0]
+    later_ms, later_level = signs[-1]
+    return (
+        level >= LEAST_STEADY_LEVEL
+        and later_ms >= LATER_RATIO * age_ms
+        and later_level <= SAME_LEVEL_RATIO * level
+    )
--- /dev/null
+++ b/tests/test_limiter.py
@@ -0,0 +1,104 @@
+from backend_model import Model
+from backend_model import plain_work
+import pytest
+
+from damasklanding.policy.limiter import Limiter
+from damasklanding.policy.limiter import Phase
+from damasklanding.policy.work import Result
+
+
+def saturated(slots, seed, until_ms, share=1.3, **fields):
+    model = Model(slots=slots, seed=seed, **fields)
+    rate_per_s = share * slots / 20.9 * 1_000
+    model.load(rate_per_s, 0, until_ms, plain_work)
+    return model
+
+
+def goodput(model, from_ms, until_ms):
+    done = sum(
+        job.result is Result.OK and from_ms <= job.ended_ms < until_ms
+        for job in model.jobs
+    )
+    return done / (until_ms - from_ms) * 20.9 / model.slots
+
+
+@pytest.mark.parametrize('sheds', [False, True])
+@pytest.mark.parametrize(('slots', 'seed'), [(4, 1), (20, 1), (70, 1)])
+def test_finds_about_the_slots(slots, seed, sheds):
+    model = saturated(slots, seed, 6_000, sheds=sheds)
+    assert model.limiter.limit == 1
+    model.run(5_000)
+    assert 0.75 * slots <= model.limiter.limit <= 1.4 * slots + 1
+    model.run(6_000)
+    assert goodput(model, 4_000, 6_000) > 0.85
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_cold_start_is_paced_below_what_it_bears(seed):
+    model = saturated(20, seed, 8_000)
+    model.fall_cold(4_000)
+    model.limiter.announce(True)
+    model.run(8_000)
+    above = sum(job.over_bearable for job in model.jobs)
+    assert above <= 0.02 * len(model.jobs)
+    assert goodput(model, 6_000, 8_000) > 0.8
+
+
+def test_slower_backend_server_keeps_its_concurrency():
+    model = saturated(20, 1, 10_000, share=0.9)
+    model.run(5_000)
+    model.slow = 3.0
+    model.run(10_000)
+    assert goodput(model, 6_000, 10_000) > 0.85 / 3
+
+
+def test_unannounced_fall_holds_new_calls():
+    model = saturated(20, 1, 12_000, share=0.9)
+    model.run(6_000)
+    assert model.limiter.phase is Phase.WARM
+    model.fall_cold(3_000)
+    model.run(7_000)
+    assert model.limiter.cold
+    started = [t for t, _, _ in model.trace if t > 6_200]
+    assert len(started) <= 3
+    model.run(12_000)
+    assert goodput(model, 11_000, 12_000) > 0.8
+
+
+def test_single_probes_while_all_is_shed():
+    now = [0.0]
+    limiter = Limiter(lambda: now[0])
+    starts = 0
+    for now[0] in range(0, 10_000, 10):
+        if limiter.has_room():
+            limiter.end(limiter.begin('p'), Result.SHED, 1.0)
+            starts += 1
+    assert limiter.limit <= 2
+    assert starts <= 200
+    assert limiter.running == 0
+
+
+def test_repeated_announcement_restarts_nothing():
+    model = saturated(20, 1, 8_000)
+    model.limiter.announce(True)
+    model.run(4_000)
+    limit = model.limiter.limit
+    model.limiter.announce(True)
+    assert model.limiter.limit == limit
+    model.limiter.announce(False)
+    model.limiter.announce(True)
+    assert model.limiter.limit == 1
+
+
+def test_failures_of_onward_calls_are_not_held_against_it():
+    model = saturated(20, 1, 6_000, share=0.5)
+    model.run(6_000)
+    limit = model.limiter.limit
+    for _ in range(100):
+        call = model.limiter.begin('p')
+        model.limiter.end(call, Result.FAILED, 20.0, went_onward=True)
+    assert model.limiter.limit == limit
+    for _ in range(5):
+        call = model.limiter.begin('p')
+        model.limiter.end(call, Result.FAILED, 20.0)
+    assert model.limiter.limit == 1
