Follow the operators' list of control hosts in every group

Putting, moving or deleting a control host changed only the list that nodes read. The leader of each group now brings the members in line with it, one change at a time, and only while a quorum of the members left answers; a host that was merely never announced stays. Replacing a lost control host by another, moving one to another address without its disk and removing the leader are tested on loopback links.

--- a/damasklanding/control/configuration.py
+++ b/damasklanding/control/configuration.py
@@ -90,6 +90,15 @@
         """Return the latest changes by operators, newest first."""
         return list(reversed(self._history))[:limit]
 
+    def deleted(self, kind):
+        """Return the names of a kind that operators have deleted."""
+        present = self.view.state.all(kind)
+        return {
+            name
+            for written, name in self._operators
+            if written == kind and name not in present
+        }
+
     def snapshot(self):
         """Return everything in bytes."""
         state = self.view.state
--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -22,9 +22,9 @@
 from damasklanding.control.leases import LeaseKeeper
 from damasklanding.control.members import FOUNDING
 from damasklanding.control.members import Member
+from damasklanding.control.reconcile import MemberReconciler
 from damasklanding.control.replica import Replica
 from damasklanding.control.storage import locked_folder
-from damasklanding.errors import Conflict
 from damasklanding.errors import LinkTimeout
 from damasklanding.errors import Unavailable
 from damasklanding.fleet.changes import put
@@ -110,6 +110,11 @@
         self._machine = ConfigurationMachine(self.view, metrics)
         self.config = self.add_group(CONFIG, self._machine)
         self.leases = LeaseKeeper(self.config, self.view, self._send)
+        self._reconciler = MemberReconciler(
+            self._replicas,
+            self.view,
+            lambda: self._machine.deleted('control_host'),
+        )
 
     def add_group(self, name, machine):
         """
@@ -146,6 +151,7 @@
         if self._greenlet is not None:
             self._greenlet.kill()
         self.leases.stop()
+        self._reconciler.stop()
         for replica in self._replicas.values():
             replica.stop()
         self._resources.close()
@@ -164,19 +170,6 @@
         data = self._propose(self.config, _encode(envelope), timeout_ms)
         return _decode_outcome(data)
 
-    def change_members(self, change, timeout_ms=PROPOSE_TIMEOUT_MS):
-        """
-        Add or remove a control host in every group.
-
-        :param change: :class:`~damasklanding.control.members.MemberChange`.
-        :raises Conflict: another change was under way all the time.
-        :raises BadInput: the change makes no sense, or would leave no
-            quorum.
-        """
-        payload = _encode(change)
-        for replica in self._replicas.values():
-            self._propose(replica, payload, timeout_ms, 'members')
-
     def history(self, limit=100):
         """Return the latest changes by operators, newest first."""
         return self._machine.history(limit)
@@ -210,24 +203,26 @@
         for replica in self._replicas.values():
             replica.start(self.incarnation, founders)
         self.leases.start()
+        self._reconciler.start()
         self._announce()
 
-    def _propose(self, replica, payload, timeout_ms, kind='command'):
+    def _propose(self, replica, payload, timeout_ms):
         deadline_ms = self._now_ms() + timeout_ms
         while True:
             left_ms = deadline_ms - self._now_ms()
             try:
-                return replica.propose(payload, max(left_ms, 1), kind)
-            except (Unavailable, Conflict):
+                return replica.propose(payload, max(left_ms, 1))
+            except Unavailable:
                 if left_ms <= RETRY_MS:
                     raise
             gevent.sleep(RETRY_MS / 1000)
 
     def _announce(self):
         settings = self.settings
+        own = settings.advertise_address or settings.peer_address
         host = ControlHostResource(
             name=settings.name,
-            peer_address=settings.advertise_address or settings.peer_address,
+            peer_address=dict(settings.control_hosts).get(settings.name, own),
             admin_address=settings.admin_address,
         )
         envelope = Envelope(
--- a/damasklanding/control/members.py
+++ b/damasklanding/control/members.py
@@ -18,6 +18,7 @@
     'changed_members',
     'decode_change',
     'decode_members',
+    'encode_change',
     'encode_members',
     'quorum_reached',
     'quorum_value',
@@ -46,8 +47,8 @@
     """
     An operator's change of a group's members.
 
-    :ivar action: ``add``, as a learner that votes once it has caught up, or
-        ``remove``.
+    :ivar action: ``add``, as a learner that votes once it has caught up,
+        ``move``, to another address, or ``remove``.
     """
 
     action: str
@@ -70,6 +71,11 @@
     return _decoder.decode(data) if data else ()
 
 
+def encode_change(change):
+    """Encode a change of members to bytes."""
+    return _encoder.encode(change)
+
+
 def decode_change(data):
     """
     Decode a change of members.
@@ -88,24 +94,40 @@
 
     :raises BadInput: where the change makes no sense.
     """
+    rule = _CHANGES.get(change.action)
+    if rule is None:
+        raise BadInput(
+            f'action is {change.action!r}', f'give {" or ".join(_CHANGES)}'
+        )
+    return rule(members, change)
+
+
+def _add(members, change):
+    for member in members:
+        if member.name == change.name:
+            return _move(members, change)
+    return (*members, Member(change.name, change.address, '', False))
+
+
+def _move(members, change):
+    return tuple(
+        msgspec.structs.replace(member, address=change.address)
+        if member.name == change.name
+        else member
+        for member in members
+    )
+
+
+def _remove(members, change):
     others = tuple(m for m in members if m.name != change.name)
-    if change.action == 'add':
-        known = [m for m in members if m.name == change.name]
-        if known and known[0].address == change.address:
-            return members
-        if known:
-            raise BadInput(
-                f'{change.name} is a member at {known[0].address}',
-                'remove it first',
-            )
-        return (*others, Member(change.name, change.address, '', False))
-    if change.action == 'remove':
-        if not any(member.voter for member in others):
-            raise BadInput(
-                f'{change.name} is the last voter', 'add another host first'
-            )
-        return others
-    raise BadInput(f'action is {change.action!r}', 'give add or remove')
+    if not any(member.voter for member in others):
+        raise BadInput(
+            f'{change.name} is the last voter', 'add another host first'
+        )
+    return others
+
+
+_CHANGES = {'add': _add, 'move': _move, 'remove': _remove}
 
 
 def quorum_value(members, values):
--- a/damasklanding/control/replication.py
+++ b/damasklanding/control/replication.py
@@ -176,13 +176,18 @@
         :raises BadInput: the change makes no sense, or the voters left
             would not reach a quorum now.
         """
-        members = changed_members(self.replica.membership.current, change)
+        current = self.replica.membership.current
+        members = changed_members(current, change)
+        if members == current:
+            return members
         if not self._may_change_members():
             raise Conflict(
                 'another change of members is under way',
                 'wait until it is accepted and send this again',
             )
-        if not quorum_reached(members, self._is_alive):
+        if not quorum_reached(
+            members, lambda m: m in current and self._is_alive(m)
+        ):
             raise BadInput(
                 f'without {change.name} no quorum answers now',
                 'bring the other control hosts back first',
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -103,6 +103,13 @@
         self._servers[name] = self._listen(name)
         return self.start(name, bootstrap=False)
 
+    def move(self, name):
+        """Give a stopped host another address and return it."""
+        server = self._servers[name] = self._listen(name)
+        addresses = {**dict(self.addresses), name: server.address}
+        self.addresses = tuple(addresses.items())
+        return server.address
+
     def kill(self, name):
         host = self.hosts[name]
         for replica in host._replicas.values():
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -9,14 +9,20 @@
 
 from damasklanding.control.host import ControlHost
 from damasklanding.control.members import FOUNDING
+from damasklanding.control.members import Member
 from damasklanding.control.members import MemberChange
+from damasklanding.control.members import encode_change
+from damasklanding.control.reconcile import next_change
 from damasklanding.control.recovery import continue_alone
 from damasklanding.errors import BadInput
 from damasklanding.errors import CorruptStore
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import NotFound
+from damasklanding.fleet.commands import DeleteResource
+from damasklanding.fleet.commands import PutControlHost
 from damasklanding.fleet.commands import PutProfile
 from damasklanding.fleet.commands import SetDataCentre
+from damasklanding.fleet.resources import ControlHost as ControlHostResource
 from damasklanding.fleet.resources import Profile
 from damasklanding.wire import StatusRequest
 
@@ -103,13 +109,18 @@
         for number in range(20):
             change(fleet, number)
         lost = next(n for n in fleet.hosts if n != leader.settings.name)
+        eventually(lambda: leader.view.state.get('control_host', lost))
         fleet.wipe(lost)
         fleet.add('c4')
         address = dict(fleet.addresses)['c4']
-        any_host = next(iter(fleet.hosts.values()))
-        any_host.change_members(MemberChange('add', 'c4', address))
+        client = fleet.client()
+        put = PutControlHost(
+            control_host=ControlHostResource(name='c4', peer_address=address)
+        )
+        propose(client, envelope(put, 'put-c4'))
         settled_voters(fleet, 'c1', 'c2', 'c3', 'c4')
-        any_host.change_members(MemberChange('remove', lost))
+        delete = DeleteResource(kind='control_host', name=lost)
+        propose(client, envelope(delete, 'delete-lost'))
         others = {'c1', 'c2', 'c3', 'c4'} - {lost}
         settled_voters(fleet, *others)
         fleet.kill(leader.settings.name)
@@ -124,36 +135,79 @@
     with cluster(tmp_path) as fleet:
         leader = fleet.start_all()
         name = leader.settings.name
-        leader.change_members(MemberChange('remove', name))
+        eventually(lambda: leader.view.state.get('control_host', name))
+        delete = DeleteResource(kind='control_host', name=name)
+        leader.propose(envelope(delete, 'delete-leader'))
         eventually(lambda: leader.config.leadership is None)
         eventually(lambda: fleet.leader() is not leader)
         assert not change(fleet, 1).error
         settled_voters(fleet, *({'c1', 'c2', 'c3'} - {name}))
 
 
-@pytest.mark.parametrize(
-    'wrong',
-    [
-        MemberChange('promote', 'c1'),
-        MemberChange('add', 'c1', '127.0.0.1:1'),
-        MemberChange('remove', 'c2'),
-    ],
-)
-def test_change_of_members_that_makes_no_sense_is_refused(tmp_path, wrong):
+def test_host_moves_to_another_address_without_its_disk(tmp_path):
     with cluster(tmp_path) as fleet:
         leader = fleet.start_all()
+        change(fleet, 1)
+        moved = next(n for n in fleet.hosts if n != leader.settings.name)
+        eventually(lambda: leader.view.state.get('control_host', moved))
+        fleet.wipe(moved)
+        address = fleet.move(moved)
+        put = PutControlHost(
+            control_host=ControlHostResource(name=moved, peer_address=address)
+        )
+        leader.propose(envelope(put, 'move'))
+        host = fleet.start(moved, bootstrap=True)
+        incarnation_known(fleet, host)
+        assert leader.config.membership.get(moved).address == address
+
+
+def change_now(host, action, name, address=''):
+    wanted = encode_change(MemberChange(action, name, address))
+    return host.config.propose(wanted, 2_000, 'members')
+
+
+def test_change_of_members_that_makes_no_sense_is_refused(tmp_path):
+    with cluster(tmp_path) as fleet:
+        leader = fleet.start_all()
+        eventually(lambda: finished(leader))
         name = leader.settings.name
-        if wrong.action == 'remove':
-            # Without this follower the two left would need the dead one.
-            follower, dead = sorted(set(fleet.hosts) - {name})
-            fleet.kill(dead)
-            gevent.sleep(fleet.timing.election_max_ms / 1000 * 1.5)
-            wrong = MemberChange('remove', follower)
-        with pytest.raises(BadInput):
-            fleet.leader().change_members(wrong)
+        with pytest.raises(BadInput, match='promote'):
+            change_now(leader, 'promote', name)
+        with pytest.raises(BadInput, match='malformed'):
+            leader.config.propose(b'nonsense', 2_000, 'members')
+        assert change_now(leader, 'remove', 'unknown') == b''
+        # Without this follower the two left would need the dead one.
+        follower, dead = sorted(set(fleet.hosts) - {name})
+        fleet.kill(dead)
+        gevent.sleep(fleet.timing.election_max_ms / 1000 * 1.5)
+        for action in ('remove', 'move'):
+            with pytest.raises(BadInput, match='no quorum'):
+                change_now(leader, action, follower, '127.0.0.1:1')
         assert not change(fleet, 1).error
 
 
+def test_last_voter_is_not_removed(tmp_path):
+    with cluster(tmp_path, 1) as fleet:
+        leader = fleet.start_all()
+        with pytest.raises(BadInput, match='last voter'):
+            change_now(leader, 'remove', 'c1')
+
+
+@pytest.mark.parametrize(
+    ('addresses', 'removed', 'expected'),
+    [
+        ({}, set(), None),
+        ({'a': '1', 'b': '2'}, {'z'}, None),
+        ({'a': '1', 'd': '4'}, {'b'}, MemberChange('add', 'd', '4')),
+        ({'a': '9'}, {'b'}, MemberChange('move', 'a', '9')),
+        ({'a': '1'}, {'b'}, MemberChange('remove', 'b')),
+    ],
+)
+def test_next_change_towards_what_operators_want(addresses, removed, expected):
+    members = (Member('a', '1'), Member('b', '2'), Member('c', '3'))
+    assert next_change(members, addresses, removed) == expected
+
+
 def test_survivor_goes_on_alone_after_the_loss_of_a_quorum(tmp_path):
     with cluster(tmp_path) as fleet:
         fleet.start_all()
