--- a/tests/budget_fleet.py
+++ b/tests/budget_fleet.py
@@ -47,7 +47,9 @@
         self.address = f'127.0.0.1:{number + 1}'
         self.instance = 'i1'
         self.time = fleet.time
-        self.frozen = False
+        self.frozen_until_ms = 0.0
+        self.starts = 1
+        self.jobs = []
         self.sent = []
         self.start()
 
@@ -62,7 +64,7 @@
             self.time,
             self.metrics,
             self,
-            self.fleet.spawn,
+            self.spawn,
         )
         self.holdings = Holdings(
             self.view,
@@ -71,10 +73,31 @@
             self.time,
             self.metrics,
             self.name,
-            self.fleet.spawn,
-            self.time.sleep,
+            self.spawn,
+            self.sleep,
         )
 
+    def restart(self):
+        """Kill the process and start another."""
+        gevent.killall(self.jobs)
+        self.jobs.clear()
+        self.starts += 1
+        self.instance = f'i{self.starts}'
+        self.start()
+
+    def spawn(self, function, *args):
+        """Run a function in this process."""
+        job = self.fleet.spawn(function, *args)
+        self.jobs.append(job)
+        return job
+
+    def sleep(self, seconds):
+        """Pause; longer where the process stands still."""
+        self.time.sleep(seconds)
+        left_ms = self.frozen_until_ms - self.time()
+        if left_ms > 0:
+            self.time.sleep(left_ms / 1000)
+
     def learn(self, confirmed_at_ms=None):
         """Take over the fleet's state, confirmed at a time, or now."""
         changes, revision = self.fleet.changes()
@@ -159,7 +182,7 @@
 
     def take(self, node, wait_ms=0):
         """Spawn one take; its value is True or the error."""
-        return self.spawn(self._take, node, wait_ms)
+        return node.spawn(self._take, node, wait_ms)
 
     def admitted(self, node, count, wait_ms=0):
         """Return how many of a number of takes are admitted."""
@@ -175,6 +198,8 @@
 
     def _take(self, node, wait_ms):
         organisation = node.view.state.get('organisation', 'acme')
+        if organisation is None:
+            return False
         try:
             node.holdings.take(organisation, wait_ms)
         except DamasklandingError as error:
@@ -186,8 +211,10 @@
         """Carry a message and its reply, each over one trip."""
         start_ms = self.time()
         sender.sent.append(message)
+        sender.sleep(0)
         reply = self._deliver(sender, address, message, timeout_ms)
         self._trip(address, sender.address, timeout_ms)
+        sender.sleep(0)
         if self.time() - start_ms > timeout_ms:
             raise LinkTimeout('late')
         return reply
@@ -195,6 +222,7 @@
     def _deliver(self, sender, address, message, timeout_ms):
         twice = self._trip(sender.address, address, timeout_ms)
         node = next(n for n in self.nodes if n.address == address)
+        node.sleep(0)
         handler = node.owner.handlers()[type(message)]
         reply = handler(None, message)
         if twice:
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -198,14 +198,22 @@
     assert fleet.admitted(node, 20) == 20
 
 
-def test_late_reply_brings_lapsed_tokens_that_are_not_used(build):
-    fleet = build(burst=20)
-    node = fleet.nodes[1]
+def test_tokens_lapse_by_when_they_were_asked_for(build):
+    fleet = build()
+    owner, node = fleet.nodes[:2]
+    for _ in range(40):
+        fleet.take(node)
+        fleet.run_for(10, step_ms=10)
+    fleet.time.run_for(250)
     fleet.delays.extend([1.0, 150.0])
+    asked_ms = fleet.time()
     job = fleet.take(node)
-    fleet.run_for(145)
-    fleet.run_for(100)
-    assert job.value is not True or worst_excess(fleet.uses, 100, 20) <= 0
+    fleet.time.run_for(160)
+    assert job.value is True
+    assert node.holdings._holdings['acme'].held(fleet.time()) > 0
+    fleet.cut.add((node.address, owner.address))
+    fleet.time.run_until(asked_ms + 200)
+    assert isinstance(fleet.error(node), Unavailable)
 
 
 def test_deleted_organisation_gets_nothing(build):
