Share the queue fairly, refuse early and avoid slow nodes

The first queue knew one level of fairness and no early refusal, and the router neither latency nor failures. Classes now share slots by organisation and then by profile, outranked classes keep a reserved share, calls that can't be served in time are refused at once, and the load report tells which importance is shed. The router compares the expected time of two candidates, ejects failing ones for a while and gives a cold one only a part of its limit. Retries over a failing bottom service stay within 1.1 times the calls at depth 5 and 29.

--- a/damasklanding/policy/gate.py
+++ b/damasklanding/policy/gate.py
@@ -16,6 +16,7 @@
 from damasklanding.errors import Draining
 from damasklanding.errors import Overloaded
 from damasklanding.policy.limiter import Limiter
+from damasklanding.policy.pressure import RefusalLevels
 from damasklanding.policy.queue import WaitQueue
 from damasklanding.policy.work import LoadReport
 from damasklanding.policy.work import Result
@@ -26,6 +27,7 @@
 MIN_RETRY_AFTER_MS = 50
 MAX_RETRY_AFTER_MS = 5_000
 SMOOTHING = 0.1
+VAIN_SHARE = 1.2  # of the allowed wait, from which a call is refused at once
 
 
 class Slot:
@@ -40,6 +42,7 @@
         self.waited_ms = waited_ms
         self.result = Result.CANCELLED
         self.service_time_ms = None
+        self._answered_ms = None
         self._now_ms = now_ms
         self.went_onward = False
         self._onward = 0
@@ -55,9 +58,20 @@
         """
         self.result = result
         if service_time_ms is None:
-            service_time_ms = self._now_ms() - self.call.started_ms
+            ended_ms = self._answered_ms or self._now_ms()
+            service_time_ms = ended_ms - self.call.started_ms
         self.service_time_ms = service_time_ms
 
+    def answered(self):
+        """
+        Mark that the answer's head has come.
+
+        What follows is bounded by the caller and not held against the
+        backend server.
+        """
+        self._answered_ms = self._now_ms()
+        self.call.onward = True
+
     @contextmanager
     def onward(self):
         """Mark the time of an onward call, which is not held against it."""
@@ -88,16 +102,18 @@
     :param service: name of its service.
     :param limiter: :class:`~damasklanding.policy.limiter.Limiter`.
     :param queue: :class:`~damasklanding.policy.queue.WaitQueue`.
-    :param now_ms: clock that both also use.
+    :param levels: :class:`~damasklanding.policy.pressure.RefusalLevels`.
+    :param now_ms: clock that all of them use.
     """
 
-    def __init__(self, service, limiter, queue, now_ms=monotonic_ms):
+    def __init__(self, service, limiter, queue, levels, now_ms=monotonic_ms):
         self.service = service
         self.limiter = limiter
         self.queue = queue
+        self.levels = levels
         self.draining = False
         self._now_ms = now_ms
-        self._service_time_ms = 0.0
+        self._times = _ServiceTimes()
         self._timer = None
 
     @contextmanager
@@ -128,18 +144,18 @@
             limit=self.limiter.limit,
             running=self.limiter.running,
             queued=len(self.queue),
-            service_time_ms=self._service_time_ms,
-            wait_ms=self.expected_wait_ms(),
+            service_time_ms=self._times.mean_ms,
+            wait_ms=self._wait_behind(len(self.queue)),
             cold=self.limiter.cold,
             draining=self.draining,
+            shed_below=self.levels.shed_below(),
         )
 
-    def expected_wait_ms(self):
-        """Return the wait that a call of the least importance would see."""
+    def expected_wait_ms(self, work):
+        """Return the wait that a call would see."""
         if self.limiter.has_room() and not len(self.queue):
             return 0.0
-        ahead = len(self.queue) + 1
-        return ahead * self._service_time_ms / self.limiter.limit
+        return self._wait_behind(self.queue.ahead_of(work))
 
     def announce(self, cold, slots=0):
         """Note an announcement of the backend server."""
@@ -160,29 +176,47 @@
                 retry_after_ms=DRAINING_RETRY_AFTER_MS,
             )
         if arrived_ms >= work.deadline_at_ms:
-            raise self._late()
-        if self.limiter.has_room() and not len(self.queue):
-            return self.limiter.begin(work.profile)
-        return self._wait(work, arrived_ms)
+            raise self._late(work)
+        try:
+            if self.limiter.has_room() and not len(self.queue):
+                call = self.limiter.begin(work.profile)
+            else:
+                call = self._wait(work, arrived_ms)
+        except (Overloaded, DeadlineExceeded):
+            self.levels.note(work.importance, admitted=False)
+            raise
+        self.levels.note(work.importance, admitted=True)
+        return call
 
     def _wait(self, work, arrived_ms):
-        latest_start_ms = work.deadline_at_ms - self._service_time_ms
+        latest_start_ms = work.deadline_at_ms - self._times.of(work.profile)
         leave_at_ms = min(latest_start_ms, arrived_ms + work.longest_wait_ms)
-        if leave_at_ms <= arrived_ms:
-            raise self._refusal(work, leave_at_ms < latest_start_ms)
+        refusal = (
+            self._overloaded if leave_at_ms < latest_start_ms else self._late
+        )
+        allowed_ms = leave_at_ms - arrived_ms
+        if allowed_ms <= 0 or self._waits_in_vain(work, allowed_ms):
+            raise refusal(work)
         waiter = _Waiter()
         ticket = self.queue.offer(work, leave_at_ms, waiter)
         if ticket is None:
-            raise self._overloaded()
+            raise self._overloaded(work)
         try:
-            waiter.event.wait((leave_at_ms - arrived_ms) / 1000.0)
+            self._dispatch()
+            waiter.event.wait(allowed_ms / 1000.0)
         except BaseException:
             self._abandon(ticket, waiter)
             raise
-        if waiter.call is not None:
-            return waiter.call
         self.queue.remove(ticket)
-        raise self._refusal(work, leave_at_ms < latest_start_ms)
+        if waiter.call is None:
+            raise refusal(work)
+        return waiter.call
+
+    def _waits_in_vain(self, work, allowed_ms):
+        if work.discipline != 'fifo' and self.queue.overload_stands():
+            return False
+        expected_ms = self._wait_behind(self.queue.ahead_of(work))
+        return expected_ms > VAIN_SHARE * allowed_ms
 
     def _abandon(self, ticket, waiter):
         self.queue.remove(ticket)
@@ -191,22 +225,19 @@
             self._dispatch()
 
     def _leave(self, slot):
-        time_ms = slot.service_time_ms
-        if slot.result is Result.OK and time_ms is not None:
-            self._smooth(time_ms)
+        if slot.result is Result.OK:
+            held_ms = self._now_ms() - slot.call.started_ms
+            self._times.learn(slot.call.profile, held_ms)
         self.limiter.end(
             slot.call, slot.result, slot.own_time_ms(), slot.went_onward
         )
         self._dispatch()
 
-    def _smooth(self, time_ms):
-        if not self._service_time_ms:
-            self._service_time_ms = time_ms
-        self._service_time_ms += SMOOTHING * (time_ms - self._service_time_ms)
-
     def _dispatch(self):
         while len(self.queue) and self.limiter.has_room():
             ticket = self.queue.take()
+            if ticket is None:
+                return
             waiter = ticket.context
             waiter.call = self.limiter.begin(ticket.work.profile)
             waiter.event.set()
@@ -219,37 +250,67 @@
         pause_s = self.limiter.pause_ms() / 1000.0
         self._timer = gevent.spawn_later(pause_s, self._dispatch)
 
-    def _refusal(self, work, waited_long):
-        if waited_long:
-            return self._overloaded()
-        return self._late()
+    def _wait_behind(self, ahead):
+        if not ahead and self.limiter.running < self.limiter.limit:
+            return 0.0
+        return (ahead + 1) * self._times.mean_ms / self.limiter.limit
 
-    def _overloaded(self):
+    def _overloaded(self, work):
         return Overloaded(
             f'no free slot at {self.service} within the longest wait',
-            retry_after_ms=self.retry_after_ms(),
+            retry_after_ms=self._retry_after_ms(work),
         )
 
-    def _late(self):
+    def _late(self, work):
         return DeadlineExceeded(
             f'too little time left for a call of {self.service}',
-            retry_after_ms=self.retry_after_ms(),
+            retry_after_ms=self._retry_after_ms(work),
         )
 
-    def retry_after_ms(self):
-        """Return the delay to ask of a refused caller."""
-        wait_ms = int(self.expected_wait_ms())
+    def _retry_after_ms(self, work):
+        wait_ms = int(self._wait_behind(self.queue.ahead_of(work)))
         return max(MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms))
 
 
 class _Waiter:
     """A greenlet in the queue, and the call once it has a slot."""
 
+    __slots__ = ('call', 'event')
+
     def __init__(self):
         self.event = Event()
         self.call = None
 
 
+class _ServiceTimes:
+    """
+    Smoothed times that calls hold a slot, onward calls included.
+
+    :ivar mean_ms: over all profiles.
+    """
+
+    def __init__(self):
+        self.mean_ms = 0.0
+        self._by_profile = {}
+
+    def of(self, profile):
+        """Return the time of a profile, 0.0 where none is known."""
+        return self._by_profile.get(profile, 0.0)
+
+    def learn(self, profile, time_ms):
+        """Take a sample."""
+        self.mean_ms += SMOOTHING * (time_ms - self.mean_ms)
+        known_ms = self._by_profile.get(profile, time_ms)
+        known_ms += SMOOTHING * (time_ms - known_ms)
+        self._by_profile[profile] = known_ms
+
+
 def build_gate(service, now_ms=monotonic_ms):
-    """Return a :class:`Gate` with its own limiter and queue."""
-    return Gate(service, Limiter(now_ms), WaitQueue(now_ms), now_ms)
+    """Return a :class:`Gate` with parts of its own."""
+    return Gate(
+        service,
+        Limiter(now_ms),
+        WaitQueue(now_ms),
+        RefusalLevels(now_ms),
+        now_ms,
+    )
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -2,10 +2,13 @@
 damasklanding.policy.routing
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Choice of the backend server for a call, by known load, outstanding calls
-and outcomes.
+Choice of the backend server for a call: the own one first, then the own
+data centre, then any, each time the better of two by expected time, from
+load reports, outstanding calls and outcomes.
 """
 
+from math import exp
+
 from damasklanding.errors import Overloaded
 from damasklanding.errors import Unavailable
 from damasklanding.policy.work import LoadReport
@@ -14,12 +17,22 @@
 __all__ = ['Router']
 
 CHOICES = 2
-REPORT_FRESH_MS = 2_000
-RETRY_AFTER_MS = 200
-FAILURES = frozenset((Result.FAILED, Result.RESET, Result.TIMEOUT))
-EJECT_AFTER = 3  # failures in a row
-EJECT_MS = 1_000
-MAX_EJECT_MS = 30_000
+EXPLORE_SHARE = 0.02  # of the choices are made without a comparison
+REPORT_FRESH_MS = 2_000.0
+LATENCY_SHARE = 0.1
+LATENCY_FADE_MS = 10_000.0
+SLOW_RATIO = 3.0  # an own backend server this much slower is not preferred
+COLD_SHARE = 0.25  # of a cold one's limit that one node may use
+
+FAILURE_POINTS = {Result.FAILED: 1, Result.RESET: 2, Result.TIMEOUT: 2}
+EJECT_POINTS = 4  # in a row
+EJECT_MS = 1_000.0
+MAX_EJECT_MS = 30_000.0
+MOST_EJECTED_SHARE = 0.5
+
+PROBE_SHARE = 0.2  # of shed calls, sent on to see whether it still sheds
+MIN_RETRY_AFTER_MS = 200
+MAX_RETRY_AFTER_MS = 5_000
 
 _UNKNOWN = LoadReport()
 
@@ -27,14 +40,28 @@
 class _Peer:
     """What this node knows about one backend server."""
 
+    __slots__ = (
+        'ejected_until_ms',
+        'ejections',
+        'latency_ms',
+        'outstanding',
+        'points',
+        'report',
+        'reported_ms',
+        'sampled_ms',
+        'sent_since',
+    )
+
     def __init__(self):
         self.outstanding = 0
+        self.sent_since = 0
         self.report = _UNKNOWN
         self.reported_ms = float('-inf')
-        self.failures = 0
+        self.points = 0
         self.ejections = 0
         self.ejected_until_ms = float('-inf')
         self.latency_ms = 0.0
+        self.sampled_ms = 0.0
 
 
 class Router:
@@ -64,7 +91,7 @@
         :param work: :class:`~damasklanding.policy.work.Work`.
         :param excluded: names that were tried already.
         :raises Unavailable: there is none.
-        :raises Overloaded: none has room for this importance.
+        :raises Overloaded: all shed calls of this importance.
         """
         usable = [
             backend
@@ -74,29 +101,36 @@
         if not usable:
             raise Unavailable(
                 'no backend server of the service takes work',
-                retry_after_ms=RETRY_AFTER_MS,
+                retry_after_ms=MIN_RETRY_AFTER_MS,
             )
-        healthy = [b for b in usable if not self._ejected(b)] or usable
+        if len(usable) == 1:
+            self._check_shed(usable, work)
+            return usable[0]
+        healthy = self._healthy(usable)
         for tier in self._tiers(healthy):
             best = self._best(tier)
-            if best is not None and self._has_room(best):
+            if best is not None and self._has_room(best.name):
                 return best
-        return self._least_wait(healthy, work)
+        self._check_shed(healthy, work)
+        return self._best(healthy)
 
     def started(self, name):
         """Count a call that was sent to a node."""
-        self._peer(name).outstanding += 1
+        peer = self._peer(name)
+        peer.outstanding += 1
+        peer.sent_since += 1
 
     def finished(self, name, result, latency_ms):
         """Learn from the end of a call."""
         peer = self._peer(name)
         peer.outstanding = max(0, peer.outstanding - 1)
+        peer.sent_since = max(0, peer.sent_since - 1)
         if result is Result.OK:
-            peer.failures = 0
+            peer.points = 0
             peer.ejections = 0
-            peer.latency_ms += 0.1 * (latency_ms - peer.latency_ms)
-        elif result in FAILURES:
-            self._failed(peer)
+            self._sample(peer, latency_ms)
+        elif result in FAILURE_POINTS:
+            self._failed(peer, FAILURE_POINTS[result])
 
     def observed(self, name, report):
         """Take a load report that came with an answer or heartbeat."""
@@ -105,6 +139,7 @@
         peer = self._peer(name)
         peer.report = report
         peer.reported_ms = self._now_ms()
+        peer.sent_since = 0
 
     def _peer(self, name):
         peer = self._peers.get(name)
@@ -112,14 +147,23 @@
             peer = self._peers[name] = _Peer()
         return peer
 
-    def _failed(self, peer):
-        peer.failures += 1
-        if peer.failures < EJECT_AFTER:
+    def _sample(self, peer, latency_ms):
+        known_ms = peer.latency_ms or latency_ms
+        peer.latency_ms = known_ms + LATENCY_SHARE * (latency_ms - known_ms)
+        peer.sampled_ms = self._now_ms()
+
+    def _failed(self, peer, points):
+        now_ms = self._now_ms()
+        if now_ms < peer.ejected_until_ms:
+            return  # one of several that were under way
+        peer.points += points
+        if peer.points < EJECT_POINTS:
             return
         pause_ms = min(MAX_EJECT_MS, EJECT_MS * 2**peer.ejections)
-        peer.ejected_until_ms = self._now_ms() + pause_ms
+        peer.ejected_until_ms = now_ms + pause_ms
         peer.ejections += 1
-        peer.failures = 0
+        # One more failure after the pause ejects it again.
+        peer.points = EJECT_POINTS - 1
 
     def _report(self, name):
         peer = self._peer(name)
@@ -132,48 +176,84 @@
             return False
         return not self._report(backend.name).draining
 
-    def _ejected(self, backend):
-        peer = self._peer(backend.name)
-        return self._now_ms() < peer.ejected_until_ms
+    def _healthy(self, usable):
+        """Leave out ejected ones, but never more than a share of all."""
+        now_ms = self._now_ms()
+        healthy = [
+            backend
+            for backend in usable
+            if now_ms >= self._peer(backend.name).ejected_until_ms
+        ]
+        ejected = len(usable) - len(healthy)
+        if not healthy or ejected > MOST_EJECTED_SHARE * len(usable):
+            return usable
+        return healthy
 
     def _tiers(self, backends):
         own = [b for b in backends if b.name == self._own_name]
-        near = [b for b in backends if b.data_centre == self._own_data_centre]
-        return own, near, backends
+        if own and not self._is_slow(own[0], backends):
+            yield own
+        yield [b for b in backends if b.data_centre == self._own_data_centre]
+        yield backends
+
+    def _is_slow(self, own, backends):
+        own_ms = self._latency_ms(own.name)
+        others = [
+            self._latency_ms(b.name) for b in backends if b.name != own.name
+        ]
+        known = [latency_ms for latency_ms in others if latency_ms]
+        return bool(known) and own_ms > SLOW_RATIO * min(known)
 
     def _best(self, backends):
         if not backends:
             return None
+        if len(backends) > 1 and self._random.random() < EXPLORE_SHARE:
+            return self._random.choice(backends)
         if len(backends) > CHOICES:
             backends = self._random.sample(backends, CHOICES)
-        return min(backends, key=self._score)
+        return min(backends, key=self._expected_ms)
 
     def _load(self, name):
+        """Return the calls that are there now, as far as known."""
+        peer = self._peer(name)
         report = self._report(name)
         return max(
-            report.running + report.queued, self._peer(name).outstanding
+            report.running + report.queued + peer.sent_since, peer.outstanding
         )
 
-    def _score(self, backend):
+    def _latency_ms(self, name):
+        """Return the time of a call seen from here; old samples fade."""
+        peer = self._peer(name)
+        age_ms = self._now_ms() - peer.sampled_ms
+        return peer.latency_ms * exp(-age_ms / LATENCY_FADE_MS)
+
+    def _expected_ms(self, backend):
         report = self._report(backend.name)
+        time_ms = self._latency_ms(backend.name) or report.service_time_ms
         limit = max(1, report.limit)
-        return (self._load(backend.name) + 1) / limit
+        queue_share = (self._load(backend.name) + 1) / limit
+        return (time_ms + 1.0) * (0.5 + queue_share)
 
-    def _has_room(self, backend):
-        report = self._report(backend.name)
+    def _has_room(self, name):
+        report = self._report(name)
         if not report.limit:
             return True
-        return self._load(backend.name) < report.limit
+        if report.cold and name != self._own_name:
+            share = max(1, int(COLD_SHARE * report.limit))
+            if self._peer(name).outstanding >= share:
+                return False
+        return self._load(name) < report.limit
 
-    def _least_wait(self, backends, work):
-        open_ = [
-            b
-            for b in backends
-            if work.importance >= self._report(b.name).shed_below
-        ]
-        if not open_:
-            raise Overloaded(
-                'no backend server of the service has room',
-                retry_after_ms=RETRY_AFTER_MS,
-            )
-        return self._best(open_)
+    def _check_shed(self, backends, work):
+        reports = [self._report(backend.name) for backend in backends]
+        if any(work.importance >= report.shed_below for report in reports):
+            return
+        if self._random.random() < PROBE_SHARE:
+            return
+        wait_ms = int(min(report.wait_ms for report in reports))
+        raise Overloaded(
+            'all backend servers of the service shed this importance',
+            retry_after_ms=max(
+                MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms)
+            ),
+        )
--- a/damasklanding/policy/work.py
+++ b/damasklanding/policy/work.py
@@ -33,6 +33,7 @@
     :ivar deadline_at_ms: on the local monotonic clock.
     :ivar longest_wait_ms: bound of the time in the queue.
     :ivar discipline: queue order within an organisation.
+    :ivar profile_weight: share of its profile among the organisation's.
     """
 
     organisation: str
@@ -42,6 +43,7 @@
     longest_wait_ms: int
     discipline: str = 'adaptive'
     profile: str = ''
+    profile_weight: int = 1
 
 
 class LoadReport(msgspec.Struct, array_like=True):
--- a/tests/backend_model.py
+++ b/tests/backend_model.py
@@ -112,7 +112,10 @@
 
     def dispatch(self):
         while len(self.queue) and self.limiter.has_room():
-            self.start(self.queue.take().context)
+            ticket = self.queue.take()
+            if ticket is None:
+                break
+            self.start(ticket.context)
         pause_ms = self.limiter.pause_ms()
         if len(self.queue) and pause_ms and not self.limiter.running:
             self.at(self.now + pause_ms, self.dispatch)
--- /dev/null
+++ b/tests/test_retry.py
@@ -0,0 +1,134 @@
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+import pytest
+
+from damasklanding.policy.retry import Attempt
+from damasklanding.policy.retry import Outcome
+from damasklanding.policy.retry import RetryBudget
+from damasklanding.policy.retry import Verdict
+from damasklanding.policy.retry import backoff_ms
+from damasklanding.policy.retry import may_retry
+
+ROOTS = 2_000
+
+
+def attempt(**fields):
+    values = {
+        'outcome': Outcome.UNKNOWN,
+        'idempotent': True,
+        'retries_left': 1,
+    }
+    values.update(fields)
+    return Attempt(**values)
+
+
+@pytest.mark.parametrize(
+    ('fields', 'verdict'),
+    [
+        ({}, Verdict.RETRY),
+        ({'idempotent': False}, Verdict.NOT_IDEMPOTENT),
+        (
+            {'idempotent': False, 'outcome': Outcome.NOT_RUN},
+            Verdict.RETRY,
+        ),
+        (
+            {'idempotent': False, 'outcome': Outcome.RAN},
+            Verdict.NOT_IDEMPOTENT,
+        ),
+        ({'retries_left': 0}, Verdict.NO_ALLOWANCE),
+        ({'may_retry': False}, Verdict.TOLD_NOT_TO),
+        (
+            {'outcome': Outcome.RAN, 'may_retry': False},
+            Verdict.ANSWERED,
+        ),
+        (
+            {'deadline_left_ms': 5.0, 'expected_ms': 10.0},
+            Verdict.NO_TIME,
+        ),
+        (
+            {
+                'outcome': Outcome.NOT_RUN,
+                'refused_free': True,
+                'retries_left': 0,
+            },
+            Verdict.RETRY,
+        ),
+        (
+            {
+                'outcome': Outcome.NOT_RUN,
+                'refused_free': True,
+                'retries_left': 0,
+                'reroutes': 2,
+            },
+            Verdict.NO_ALLOWANCE,
+        ),
+    ],
+)
+def test_verdicts(fields, verdict):
+    assert may_retry(attempt(**fields), RetryBudget()) is verdict
+
+
+def test_empty_budget_stops_retries():
+    budget = RetryBudget(reserve=0)
+    assert may_retry(attempt(), budget) is Verdict.NO_BUDGET
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(st.lists(st.booleans(), max_size=300))
+def test_budget_never_exceeds_its_share(steps):
+    budget = RetryBudget(ratio=0.1, reserve=2)
+    calls = spent = 0
+    for is_call in steps:
+        if is_call:
+            budget.note_call()
+            calls += 1
+        else:
+            spent += budget.try_spend()
+        assert budget.tokens >= 0
+        assert spent <= max(2, 0.1 * calls) + 1e-6
+
+
+class Hop:
+    """One service of a chain, with the decisions of its node."""
+
+    def __init__(self):
+        self.budget = RetryBudget()
+        self.calls = 0
+
+
+def call(hops, depth, allowance):
+    """Call a chain whose last service fails; return whether to retry."""
+    if depth == len(hops):
+        return True
+    hop = hops[depth]
+    hop.budget.note_call()
+    while True:
+        hop.calls += 1
+        says_retry = call(hops, depth + 1, allowance)
+        failed = attempt(retries_left=allowance[0], may_retry=says_retry)
+        if may_retry(failed, hop.budget) is not Verdict.RETRY:
+            return False
+        allowance[0] -= 1
+        assert allowance[0] >= 0
+
+
+@pytest.mark.parametrize('depth', [5, 29])
+@pytest.mark.parametrize('allowance', [1, 3])
+def test_failing_bottom_service_costs_a_tenth_more(depth, allowance):
+    hops = [Hop() for _ in range(depth)]
+    for _ in range(ROOTS):
+        call(hops, 0, [allowance])
+    assert max(hop.calls for hop in hops) <= 1.1 * ROOTS
+    assert sum(hop.calls for hop in hops) <= 1.1 * ROOTS * depth
+
+
+def test_backoff_is_jittered_and_honours_retry_after():
+    generator = random.Random(1)
+    waits = [backoff_ms(2, generator.random) for _ in range(100)]
+    assert 0 <= min(waits) < max(waits) <= 40
+    asked = [backoff_ms(0, generator.random, 300) for _ in range(100)]
+    assert min(asked) >= 300
+    assert len(set(asked)) > 90
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,132 @@
+from collections import Counter
+import random
+
+from backend_model import plain_work
+import pytest
+
+from damasklanding.errors import Overloaded
+from damasklanding.errors import Unavailable
+from damasklanding.fleet.resources import Backend
+from damasklanding.policy.routing import Router
+from damasklanding.policy.work import LoadReport
+from damasklanding.policy.work import Result
+
+
+def backend(name, data_centre='dc-a', **fields):
+    return Backend(
+        name=name,
+        instance='i',
+        data_centre=data_centre,
+        peer_address='127.0.0.1:1',
+        service='s',
+        **fields,
+    )
+
+
+FLEET = [
+    backend('own'),
+    backend('near-1'),
+    backend('near-2'),
+    backend('far-1', 'dc-b'),
+    backend('far-2', 'dc-b'),
+]
+
+
+@pytest.fixture
+def clock():
+    return [0.0]
+
+
+@pytest.fixture
+def router(clock):
+    return Router('own', 'dc-a', lambda: clock[0], random.Random(1))
+
+
+def report(router, name, running=0, limit=10, **fields):
+    load = LoadReport('s', limit, running, service_time_ms=20.0, **fields)
+    router.observed(name, load)
+
+
+def chosen(router, count, candidates=FLEET, **fields):
+    work = plain_work(0, **fields)
+    return Counter(
+        router.choose(candidates, work, ()).name for _ in range(count)
+    )
+
+
+def test_own_then_near_then_far(router):
+    for item in FLEET:
+        report(router, item.name)
+    assert set(chosen(router, 20)) == {'own'}
+    report(router, 'own', running=10)
+    assert set(chosen(router, 20)) <= {'near-1', 'near-2'}
+    report(router, 'near-1', running=10)
+    report(router, 'near-2', running=10)
+    assert set(chosen(router, 20)) <= {'far-1', 'far-2'}
+
+
+@pytest.mark.parametrize('fields', [{'state': 'draining'}, {'held_out': True}])
+def test_leaving_backend_servers_get_nothing(router, fields):
+    with pytest.raises(Unavailable):
+        chosen(router, 1, [backend('near-1', **fields)])
+
+
+def test_draining_report_counts_before_the_configuration(router):
+    report(router, 'near-1', draining=True)
+    assert set(chosen(router, 20, FLEET[1:3])) == {'near-2'}
+
+
+def test_excluded_are_not_tried_again(router):
+    with pytest.raises(Unavailable):
+        router.choose(FLEET[:1], plain_work(0), {'own'})
+
+
+def test_outstanding_calls_count_before_any_report(router):
+    counts = Counter()
+    for _ in range(40):
+        name = router.choose(FLEET[3:], plain_work(0), ()).name
+        router.started(name)
+        counts[name] += 1
+    assert min(counts.values()) >= 15
+
+
+def test_no_herd_to_a_cold_one(router):
+    report(router, 'far-1', running=9, limit=10)
+    report(router, 'far-2', limit=1, cold=True)
+    counts = Counter()
+    for _ in range(20):
+        name = router.choose(FLEET[3:], plain_work(0), ()).name
+        router.started(name)
+        counts[name] += 1
+    assert counts['far-2'] <= 3
+
+
+def test_failing_one_is_left_alone_then_explored(router, clock):
+    for _ in range(10):
+        router.started('far-1')
+        router.finished('far-1', Result.FAILED, 5.0)
+    assert set(chosen(router, 50, FLEET[3:])) == {'far-2'}
+    clock[0] += 60_000
+    assert chosen(router, 50, FLEET[3:])['far-1'] > 0
+
+
+def test_slow_one_gets_less(router):
+    for _ in range(200):
+        for name, latency_ms in (('far-1', 400.0), ('far-2', 20.0)):
+            router.started(name)
+            router.finished(name, Result.OK, latency_ms)
+    assert chosen(router, 100, FLEET[3:])['far-1'] < 20
+
+
+def test_low_importance_is_refused_where_all_shed_it(router):
+    for item in FLEET:
+        report(router, item.name, running=10, shed_below=2)
+    refused = 0
+    for _ in range(100):
+        try:
+            router.choose(FLEET, plain_work(0, importance=1), ())
+        except Overloaded as error:
+            assert error.retry_after_ms > 0
+            refused += 1
+    assert 50 <= refused < 100
+    assert sum(chosen(router, 20, importance=2).values()) == 20
