--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -5,6 +5,8 @@
 Wires the parts of a node's data path and gives them one life cycle.
 """
 
+import gc
+
 import gevent
 import msgspec
 
@@ -21,6 +23,7 @@
 
 __all__ = ['Node', 'NodeStatus']
 
+COLLECTOR_THRESHOLDS = (10_000, 50, 50)
 DRAIN_POLL_MS = 20
 IDLE_GRACE_MS = 500  # lets idle callers learn that the node leaves
 
@@ -37,6 +40,13 @@
     pooled_connections: int
 
 
+def _spare_collections():
+    """Keep long garbage collections out of the path of calls."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECTOR_THRESHOLDS)
+
+
 def _nothing(*_args):
     return None
 
@@ -133,6 +143,7 @@
 
     def start(self):
         """Start both listeners."""
+        _spare_collections()
         self.egress.start()
         self.callers.start()
 
