Notice connections that have gone silent within a second

A link was left after 2 s of silence, a pooled connection to a backend server never before the deadline, a retry went to the next link that was silent too, and the chain's whole allowance was lost with the link it was lent on.

Change: a link pings when something was sent and nothing heard, and closes 700 ms after an unanswered ping, but not when this process itself was held up; a link that has been silent proves itself before any request, and a new one takes its place while its exchanges end; an idempotent call gives up a connection after five usual times and is sent again on a fresh one, within the chain's allowance and 2% of calls; one of several retries stays with the sender, so the default allowance is 2.

--- a/bench/load.py
+++ b/bench/load.py
@@ -10,6 +10,7 @@
 from dataclasses import field
 from http.client import HTTPConnection
 from http.client import HTTPException
+import json
 import random
 import socket
 import time
@@ -222,11 +223,18 @@
         answer.status = status
         answer.whole = True
         answer.outcome = headers.get('damasklanding-outcome', '')
+        answer.code = _problem_code(headers, body)
         if status == 200 and body.startswith(b'work='):
             expected = f'work={answer.work};'.encode()
             answer.crossed = not body.startswith(expected)
 
 
+def _problem_code(headers, body):
+    if headers.get('content-type') != 'application/problem+json':
+        return ''
+    return json.loads(body).get('code', '')
+
+
 def _ended(sock):
     sock.setblocking(False)
     try:
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -37,6 +37,11 @@
         self.server = StreamServer((host, int(port)), self._accept)
         self.server.start()
 
+    @property
+    def address(self):
+        """Return the address in use, with the port that was given out."""
+        return '%s:%d' % self.server.address[:2]
+
     def silence(self):
         """Make all open connections silent for good."""
         for state in self.pairs:
--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -22,6 +22,7 @@
 __all__ = ['Daemon']
 
 BEAT_MS = 300
+RETRY_RESERVE = 10
 
 
 class Daemon:
@@ -218,7 +219,7 @@
                 monotonic_ms,
                 random.Random(identity.instance),
             ),
-            RetryBudget(),
+            RetryBudget(reserve=RETRY_RESERVE),
             self.holdings,
             ClaimClient(client, monotonic_ms, daemon.metrics),
             daemon.metrics,
--- a/damasklanding/errors.py
+++ b/damasklanding/errors.py
@@ -29,6 +29,7 @@
     'NotLeader',
     'Overloaded',
     'OverRate',
+    'PeerLost',
     'Refusal',
     'StaleState',
     'TooLarge',
@@ -291,6 +292,12 @@
     may_retry = True
 
 
+class PeerLost(UpstreamFailed):
+    """The connection to the serving node broke after the request was sent."""
+
+    code = 'peer-lost'
+
+
 class UpstreamTimeout(UpstreamFailed):
     """The time ran out after the request was handed over."""
 
--- a/damasklanding/fleet/resources.py
+++ b/damasklanding/fleet/resources.py
@@ -67,7 +67,7 @@
     idempotent: bool = True
     longest_wait_ms: Annotated[int, Meta(ge=0, le=600_000)] = 500
     timeout_ms: DurationMs = 5_000
-    retries: Annotated[int, Meta(ge=0, le=3)] = 1
+    retries: Annotated[int, Meta(ge=0, le=3)] = 2
     discipline: str = 'adaptive'
     weight: Annotated[int, Meta(ge=1, le=1_000)] = 1
     claim_retention_ms: Annotated[int, Meta(ge=60_000, le=86_400_000)] = (
--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -52,9 +52,12 @@
 
 CONNECT_TIMEOUT_MS = 1_000
 HANDSHAKE_TIMEOUT_MS = 2_000
-HEARTBEAT_MS = 500
+TICK_MS = 200
+HEARTBEAT_MS = 500  # of a link with open exchanges
+IDLE_HEARTBEAT_MS = 2_000
+PONG_LIMIT_MS = 700  # a link that is silent for longer after a ping is closed
 READ = 1
-SILENCE_LIMIT_MS = 2_000  # a link that is silent for longer is closed
+UNACKNOWLEDGED_LIMIT_MS = 2_000
 RECEIVE_BYTES = 32 * 1024
 MAX_BACKLOG_BYTES = 1024 * 1024  # unsent data above which senders wait
 DELAY_WINDOW_MS = 10_000
@@ -78,7 +81,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
     sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS
     )
 
 
@@ -111,6 +114,9 @@
         self._now_ms = options.now_ms
         self._made_ms = self._now_ms()
         self._heard_ms = self._made_ms
+        self._sent_ms = 0.0
+        self._pinged_ms = 0.0
+        self._retired = False
         self._ping_seq = 0
         self._delays = _Delays()
         self._greenlets = []
@@ -139,16 +145,19 @@
         """
         return self._delays.note(self.age_ms() - sent_ms, self._now_ms())
 
+    def retire(self):
+        """Close as soon as no exchange is open; open no further ones."""
+        self._retired = True
+
     def prove(self, timeout_ms):
         """
         Check that the peer still answers on this connection.
 
-        :raises LinkTimeout: it did not in time; the link is closed.
+        :raises LinkTimeout: it did not in time.
         """
         self._pongs.clear()
         self._ping()
         if not self._pongs.wait(timeout_ms / 1000):
-            self.close()
             raise LinkTimeout(f'{self.peer.name} no longer answers')
         if self.closed.is_set():
             raise LinkClosed(f'the link to {self.peer.name} closed')
@@ -194,6 +203,7 @@
         # frame: what does not fit at once is left to the writer.
         if self.closed.is_set():
             raise LinkClosed(f'the link to {self.peer.name} closed')
+        self._sent_ms = self._now_ms()
         if not self._backlog:
             data = data[self._send_now(data) :]
             if not data:
@@ -376,20 +386,40 @@
 
     def _heartbeat_loop(self):
         while not self.closed.is_set():
-            gevent.sleep(HEARTBEAT_MS / 1000)
-            if self.silent_ms() > SILENCE_LIMIT_MS:
+            due_ms = self._now_ms() + TICK_MS
+            gevent.sleep(TICK_MS / 1000)
+            if self._now_ms() - due_ms > TICK_MS:
+                # This process was held up; what came meanwhile is read first.
+                self._pinged_ms = 0.0
+            elif self._retired and not self._exchanges:
+                self.close()
+            elif self._has_gone_silent():
                 self._options.on_broken(
                     self, LinkTimeout(f'{self.peer.name} fell silent')
                 )
                 self.close()
-                return
-            try:
-                self._ping()
-            except LinkClosed:
-                return
+            elif self._ping_is_due():
+                try:
+                    self._ping()
+                except LinkClosed:
+                    return
+
+    def _has_gone_silent(self):
+        if self._pinged_ms <= self._heard_ms:
+            return False
+        return self._now_ms() - self._pinged_ms > PONG_LIMIT_MS
+
+    def _ping_is_due(self):
+        if self._pinged_ms > self._heard_ms:
+            return False
+        if self._sent_ms > self._heard_ms:
+            return self.silent_ms() >= TICK_MS
+        interval_ms = HEARTBEAT_MS if self._exchanges else IDLE_HEARTBEAT_MS
+        return self.silent_ms() >= interval_ms
 
     def _ping(self):
         self._ping_seq += 1
+        self._pinged_ms = self._now_ms()
         self.send(
             Ping(self._ping_seq, self._options.load(), int(self.age_ms()))
         )
--- a/damasklanding/links.py
+++ b/damasklanding/links.py
@@ -7,6 +7,7 @@
 
 from gevent.lock import BoundedSemaphore
 
+from damasklanding.errors import LinkTimeout
 from damasklanding.link import open_link
 
 __all__ = ['LinkPool']
@@ -47,8 +48,24 @@
         return link
 
     def request(self, address, message, timeout_ms):
-        """Send one message to an address and return the reply."""
-        return self.get(address).request(message, timeout_ms)
+        """
+        Send one message to an address and return the reply.
+
+        A link that stayed silent for the whole time is replaced.
+        """
+        link = self.get(address)
+        try:
+            return link.request(message, timeout_ms)
+        except LinkTimeout:
+            if link.silent_ms() >= timeout_ms:
+                self.replace(address, link)
+            raise
+
+    def replace(self, address, link):
+        """Use a new link from now on; the old one ends with its exchanges."""
+        if self._links.get(address) is link:
+            del self._links[address]
+        link.retire()
 
     def forget(self, address):
         """Close the link to an address that is no longer a peer."""
--- a/damasklanding/node/calls.py
+++ b/damasklanding/node/calls.py
@@ -26,8 +26,10 @@
     """
     Retries that a call chain may still spend.
 
-    An attempt takes the whole allowance along and brings the rest back, so
-    that attempts at the same time never spend one retry twice.
+    An attempt takes its part of the allowance along and brings the rest
+    back, so that attempts at the same time never spend one retry twice.  Of
+    two or more, one stays: the part that was lent is lost with a connection
+    that breaks.
     """
 
     __slots__ = ('left',)
@@ -36,9 +38,10 @@
         self.left = left
 
     def lend(self):
-        """Give all of it to an attempt."""
-        lent = self.left
-        self.left = 0
+        """Give all of it to an attempt, or all but one of several."""
+        kept = 1 if self.left > 1 else 0
+        lent = self.left - kept
+        self.left = kept
         return lent
 
     def give_back(self, rest, lent):
--- a/damasklanding/node/forward.py
+++ b/damasklanding/node/forward.py
@@ -12,6 +12,7 @@
 
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import Draining
+from damasklanding.errors import PeerLost
 from damasklanding.errors import Unavailable
 from damasklanding.errors import UpstreamFailed
 from damasklanding.errors import UpstreamTimeout
@@ -227,7 +228,11 @@
         return True
 
     def _give_up(self, verdict, tries, failure):
-        if verdict in _FINAL:
+        # Who sent the call may still hold a retry for a broken connection.
+        lost = verdict is Verdict.NO_ALLOWANCE and isinstance(
+            failure, PeerLost
+        )
+        if verdict in _FINAL and not lost:
             failure.may_retry = False
         if not tries.proven and failure.outcome == NOT_RUN:
             failure.outcome = UNKNOWN
--- a/damasklanding/node/peers.py
+++ b/damasklanding/node/peers.py
@@ -11,6 +11,7 @@
 from damasklanding.errors import DeadlineExceeded
 from damasklanding.errors import LinkClosed
 from damasklanding.errors import LinkTimeout
+from damasklanding.errors import PeerLost
 from damasklanding.errors import Unavailable
 from damasklanding.errors import UpstreamFailed
 from damasklanding.errors import UpstreamTimeout
@@ -30,6 +31,7 @@
 
 ANSWER_GRACE_MS = 25  # lets a refusal at the deadline arrive
 PROVE_AFTER_MS = 100  # silence after which a link proves itself first
+PROVE_REPEATABLE_AFTER_MS = 400
 PROVE_TIMEOUT_MS = 150
 MAX_DEADLINE_MS = 0xFFFFFFFF
 
@@ -84,7 +86,10 @@
     def _proven_link(self, address, call):
         try:
             link = self._pool.get(address)
-            if not call.idempotent and link.silent_ms() > PROVE_AFTER_MS:
+            limit_ms = PROVE_REPEATABLE_AFTER_MS
+            if not call.idempotent:
+                limit_ms = PROVE_AFTER_MS
+            if link.silent_ms() > limit_ms:
                 link = self._prove(link, address)
         except DamasklandingError as error:
             error.outcome = NOT_RUN
@@ -98,6 +103,7 @@
         try:
             link.prove(PROVE_TIMEOUT_MS)
         except (LinkClosed, LinkTimeout):
+            self._pool.replace(address, link)
             return self._pool.get(address)
         return link
 
@@ -184,7 +190,7 @@
     if isinstance(error, LinkTimeout):
         return UpstreamTimeout('the node did not answer in time')
     if isinstance(error, (LinkClosed, BadInput)):
-        return UpstreamFailed('the connection to the node broke')
+        return PeerLost('the connection to the node broke')
     return error
 
 
--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -15,6 +15,7 @@
 from urllib3.connection import HTTPConnection
 
 from damasklanding.clock import monotonic_ms
+from damasklanding.errors import DamasklandingError
 from damasklanding.errors import DeadlineExceeded
 from damasklanding.errors import Unavailable
 from damasklanding.errors import UpstreamFailed
@@ -35,6 +36,7 @@
 from damasklanding.node.bodies import INLINE_BYTES
 from damasklanding.node.http import send_all
 from damasklanding.node.reply import Reply
+from damasklanding.policy.retry import RetryBudget
 
 __all__ = ['Upstream']
 
@@ -42,10 +44,19 @@
 TRUST_IDLE_MS = 100  # a longer idle one carries no non-idempotent request
 MAX_IDLE_MS = 10_000
 MAX_IDLE_CONNECTIONS = 64
+MIN_PATIENCE_MS = 300
+PATIENCE_FACTOR = 5
+SMOOTHING = 0.1
+RESEND_RATIO = 0.02
+RESEND_RESERVE = 10
 SHED_STATUSES = frozenset((429, 503))
 UNSURE_STATUSES = frozenset((502, 503, 504))
 
 
+class _Silence(Exception):
+    """A connection brought no answer for far longer than usual."""
+
+
 class _Connection(HTTPConnection):
     """
     One connection to the backend server.
@@ -101,6 +112,8 @@
         self._host, self._port = parse_address(address or ':0')
         self._now_ms = now_ms
         self._idle = deque()
+        self._answer_ms = 0.0
+        self._resends = RetryBudget(RESEND_RATIO, RESEND_RESERVE)
 
     def idle_count(self):
         """Return the number of pooled connections."""
@@ -127,32 +140,64 @@
         head = self._head(call, token)
         connection = self._take(call.idempotent)
         fresh = connection.used_ms is None
+        patience_ms = self._patience_ms(call)
         try:
-            return self._attempt(connection, call, head)
+            return self._attempt(connection, call, head, patience_ms)
         except UpstreamFailed as error:
             connection.close()
             if fresh or not self._may_resend(call, error):
                 raise
+        except _Silence:
+            # The pooled connections may have gone silent with this one.
+            connection.close()
+            self.close()
         except BaseException:
             connection.close()
             raise
-        connection = self._connect()
+        return self._repeat(call, head)
+
+    def _repeat(self, call, head):
+        """Send a call again that may have run already."""
         try:
-            return self._attempt(connection, call, head)
-        except BaseException:
-            connection.close()
+            connection = self._connect()
+            try:
+                answer = self._attempt(connection, call, head, float('inf'))
+            except BaseException:
+                connection.close()
+                raise
+        except DamasklandingError as error:
+            if error.outcome == NOT_RUN:
+                error.outcome = UNKNOWN
             raise
+        if answer.outcome == NOT_RUN:
+            answer.outcome = UNKNOWN
+        return answer
 
     def _may_resend(self, call, error):
         if type(error) is not UpstreamFailed or not error.silent:
             return False
         return call.idempotent and call.body.repeatable()
 
-    def _attempt(self, connection, call, head):
+    def _patience_ms(self, call):
+        """Return after what time a connection counts as silent."""
+        if not call.idempotent or not call.body.repeatable():
+            return float('inf')
+        if not self._answer_ms:
+            return float('inf')
+        return max(MIN_PATIENCE_MS, PATIENCE_FACTOR * self._answer_ms)
+
+    def _give_up_on(self, call):
+        return call.allowance.spend() and self._resends.try_spend()
+
+    def _attempt(self, connection, call, head, patience_ms):
+        self._resends.note_call()
         timer = gevent.Timeout(self._left_s(call), TimeoutError)
         timer.start()
         try:
+            sent_ms = self._now_ms()
             self._send(connection, call, head)
+            self._await_answer(connection, call, patience_ms)
+            self._note_time(self._now_ms() - sent_ms)
             reply = Reply(connection.reader, call.method)
             reply.begin()
             return self._answer(connection, call, reply)
@@ -165,6 +210,21 @@
         finally:
             timer.close()
 
+    def _await_answer(self, connection, call, patience_ms):
+        if patience_ms == float('inf'):
+            return
+        try:
+            with gevent.Timeout(patience_ms / 1000, _Silence()):
+                connection.reader.peek(1)
+        except _Silence:
+            if self._give_up_on(call):
+                raise
+
+    def _note_time(self, time_ms):
+        if not self._answer_ms:
+            self._answer_ms = time_ms
+        self._answer_ms += (time_ms - self._answer_ms) * SMOOTHING
+
     def _send(self, connection, call, head):
         connection.sock.settimeout(None)
         if call.guard is not None:
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -39,7 +39,7 @@
 
 PROFILES = (
     Profile(name='query', retries=1, timeout_ms=3_000),
-    Profile(name='booking', idempotent=False, importance=3),
+    Profile(name='booking', idempotent=False, importance=3, retries=1),
     Profile(name='short', timeout_ms=300, longest_wait_ms=200),
     Profile(name='archive', timeout_ms=60_000, retries=0),
 )
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -3,12 +3,15 @@
 import gevent
 import pytest
 
+from bench.relay import Relay
 from damasklanding.errors import Forbidden
 from damasklanding.errors import LinkClosed
+from damasklanding.errors import LinkTimeout
 from damasklanding.errors import NotFound
 from damasklanding.link import Identity
 from damasklanding.link import LinkServer
 from damasklanding.link import open_link
+from damasklanding.links import LinkPool
 from damasklanding.wire import BodyChunk
 from damasklanding.wire import Propose
 from damasklanding.wire import ProposeReply
@@ -106,3 +109,26 @@
     server.stop()
     job.join(2)
     assert isinstance(job.exception, LinkClosed)
+
+
+def test_silent_link_is_replaced_and_its_exchanges_end():
+    server = serve({Propose: echo, StatusRequest: never_answer})
+    relay = Relay('127.0.0.1:0', server.address)
+    relay.start()
+    pool = LinkPool(NODE, SECRET)
+    assert pool.request(relay.address, Propose('g', b'a'), 500)
+    old = pool.get(relay.address)
+    waiting = gevent.spawn(old.request, StatusRequest('g'), 60_000)
+    gevent.sleep(0.05)
+    relay.silence()
+    with pytest.raises(LinkTimeout):
+        pool.request(relay.address, Propose('g', b'b'), 100)
+    assert pool.request(relay.address, Propose('g', b'c'), 500)
+    assert pool.get(relay.address) is not old
+    waiting.join(5)
+    assert isinstance(waiting.exception, LinkClosed)
+    server.stop()
+
+
+def never_answer(_exchange, _message):
+    gevent.sleep(60)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -204,3 +204,47 @@
     answer = Upstream(answering(data).address).call(a_call(), 't')
     assert (answer.outcome, answer.may_retry) == (outcome, may_retry)
     assert 'damasklanding-outcome' not in answer.headers
+
+
+SHED = (
+    b'HTTP/1.1 503 Shed\r\ncontent-length: 0\r\n'
+    b'damasklanding-outcome: not-run\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize(
+    'second, idempotent, status, outcome',
+    [(OK, True, 200, 'ran'), (SHED, True, 503, 'unknown')],
+)
+def test_silent_connection_is_given_up(second, idempotent, status, outcome):
+    requests = []
+
+    def serve(sock):
+        while sock.recv(65_536):
+            requests.append(sock)
+            if len(requests) == 1:
+                sock.sendall(OK)
+            elif requests[0] is not sock:
+                sock.sendall(second)
+
+    upstream = Upstream(Raw(serve).address)
+    upstream.call(a_call(), 't')
+    answer = upstream.call(a_call(idempotent=idempotent), 't')
+    # What ran on the silent connection can't be known, so a refusal of the
+    # second sending does not prove that nothing ran.
+    assert (answer.status, answer.outcome) == (status, outcome)
+    assert len(requests) == 3
+
+
+def test_silent_connection_is_not_given_up_without_allowance():
+    def serve(sock):
+        sock.recv(65_536)
+        sock.sendall(OK)
+        gevent.sleep(5)
+
+    upstream = Upstream(Raw(serve).address)
+    upstream.call(a_call(), 't')
+    call = a_call(timeout_ms=700)
+    call.allowance = Allowance(0)
+    with pytest.raises(UpstreamTimeout):
+        upstream.call(call, 't')
