--- /dev/null
+++ b/damasklanding/control/admission.py
@@ -0,0 +1,81 @@
+"""
+damasklanding.control.admission
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+How a leader changes the members of its group: one change at a time, each a
+log entry that a later marker declares settled.
+"""
+
+from damasklanding.control.members import Member
+from damasklanding.control.members import changed_members
+from damasklanding.control.members import encode_members
+from damasklanding.control.members import quorum_reached
+from damasklanding.errors import BadInput
+from damasklanding.errors import Conflict
+
+__all__ = ['admit', 'mark_settled', 'members_after']
+
+
+def members_after(leadership, change):
+    """
+    Return the members after an operator's change.
+
+    :param change: :class:`~damasklanding.control.members.MemberChange`.
+    :raises Conflict: another change is not yet settled.
+    :raises BadInput: the change makes no sense, or the voters left would
+        not reach a quorum now.
+    """
+    current = leadership.replica.membership.current
+    members = changed_members(current, change)
+    if members == current:
+        return members
+    if not _may_change(leadership):
+        raise Conflict(
+            'another change of members is under way',
+            'wait until it is accepted and send this again',
+        )
+    if not quorum_reached(
+        members, lambda m: m in current and leadership.is_alive(m)
+    ):
+        raise BadInput(
+            f'without {change.name} no quorum answers now',
+            'bring the other control hosts back first',
+        )
+    return members
+
+
+def mark_settled(leadership):
+    """Let the log tell that the latest change of members stands."""
+    membership = leadership.replica.membership
+    if membership.is_settled() and not membership.is_marked():
+        leadership.append('settled', str(membership.changed_at).encode())
+
+
+def admit(leadership, peer):
+    """Record a caught-up peer's new data folder as the one that counts."""
+    replica = leadership.replica
+    member = replica.membership.get(peer.name)
+    if member is None or member.incarnation == peer.incarnation:
+        return
+    caught_up = peer.match_index >= replica.commit_index
+    if not caught_up or not _may_change(leadership):
+        return
+    admitted = Member(
+        member.name,
+        member.address,
+        peer.incarnation,
+        member.voter or not member.incarnation,
+    )
+    members = tuple(
+        admitted if known is member else known
+        for known in replica.membership.current
+    )
+    leadership.append('members', encode_members(members))
+
+
+def _may_change(leadership):
+    replica = leadership.replica
+    return (
+        replica.commit_index >= leadership.first_index
+        and replica.membership.is_finished(replica.commit_index)
+    )
--- a/damasklanding/control/journal.py
+++ b/damasklanding/control/journal.py
@@ -9,14 +9,14 @@
 
 import glob
 import os
-import struct
-import zlib
 
 import gevent
 from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 import msgspec
 
+from damasklanding.control.segment import encode_batch
+from damasklanding.control.segment import read_batches
 from damasklanding.control.storage import in_thread
 from damasklanding.control.storage import read_file
 from damasklanding.control.storage import shielded
@@ -31,11 +31,9 @@
 VOTE_NAME = 'vote'
 SNAPSHOT_NAME = 'snapshot'
 SEGMENT_PATTERN = 'segment-*'
-SECTOR_BYTES = 512
 
-#: Length of the body, its checksum, checksum of both.
-_HEADER = struct.Struct('<III')
-_PREFIX = struct.Struct('<II')
+
+_encode = msgspec.msgpack.Encoder().encode
 
 
 class Vote(msgspec.Struct, array_like=True, frozen=True):
@@ -58,66 +56,6 @@
     state: bytes = b''
 
 
-class Batch(msgspec.Struct, array_like=True, frozen=True):
-    """
-    Body of one batch of a segment.
-
-    :ivar base_index: index before the first entry; set in the first batch
-        of a segment only.
-    """
-
-    entries: list[tuple[int, int, str, bytes]]
-    base_index: int = -1
-    base_term: int = 0
-
-
-_encode = msgspec.msgpack.Encoder().encode
-_decode_batch = msgspec.msgpack.Decoder(Batch).decode
-
-
-def _frame(batch):
-    body = _encode(batch)
-    prefix = _PREFIX.pack(len(body), zlib.crc32(body))
-    return prefix + struct.pack('<I', zlib.crc32(prefix)) + body
-
-
-def _batch_of(entries, base_index=-1, base_term=0):
-    rows = [(e.term, e.index, e.kind, e.payload) for e in entries]
-    return Batch(rows, base_index, base_term)
-
-
-def _unwritten(data):
-    return not any(data)
-
-
-def read_batches(path, data):
-    """
-    Yield batches with the offset after each, up to a torn tail.
-
-    :raises CorruptStore: damage that an interrupted write can't explain.
-    """
-    offset = 0
-    while offset < len(data):
-        rest = data[offset:]
-        if len(rest) < _HEADER.size:
-            return
-        length, checksum, header_checksum = _HEADER.unpack_from(rest)
-        body = rest[_HEADER.size : _HEADER.size + length]
-        if zlib.crc32(rest[: _PREFIX.size]) != header_checksum:
-            if _unwritten(rest[_HEADER.size :]):
-                return
-            raise CorruptStore(f'{path} is damaged at byte {offset}')
-        if len(body) < length:
-            return
-        if zlib.crc32(body) != checksum:
-            is_last = len(rest) == _HEADER.size + length
-            if is_last and _unwritten(rest[-SECTOR_BYTES:]):
-                return
-            raise CorruptStore(f'{path} is damaged at byte {offset}')
-        offset += _HEADER.size + length
-        yield _decode_batch(body), offset
-
-
 class Journal:
     """
     Log, vote and snapshot of one replica under one folder.
@@ -326,10 +264,9 @@
         self._pending = []
         if self._rewrite:
             self._rewrite = False
-            batch = _batch_of(self._entries, self.base_index, self.base_term)
-            in_thread(self._start_segment, _frame(batch))
+            in_thread(self._start_segment, self._whole_log())
         else:
-            in_thread(self._write_batch, _frame(_batch_of(self._writing)))
+            in_thread(self._write_batch, encode_batch(self._writing))
         self._writing = []
         self._synced = target
         self._wake()
@@ -339,6 +276,9 @@
         self._progress = Event()
         progress.set()
 
+    def _whole_log(self):
+        return encode_batch(self._entries, self.base_index, self.base_term)
+
     def _write_batch(self, data):
         self._file.write(data)
         self._file.flush()
@@ -389,8 +329,7 @@
         else:
             self._write_vote(self.vote)
             self._reset(self.snapshot)
-            batch = _batch_of([], self.base_index, self.base_term)
-            self._start_segment(_frame(batch))
+            self._start_segment(self._whole_log())
 
     def _load_snapshot(self):
         data = read_file(self._path(SNAPSHOT_NAME))
@@ -434,8 +373,7 @@
         if self.term_at(snapshot.index) == snapshot.term:
             return
         self._reset(snapshot)
-        batch = _batch_of([], self.base_index, self.base_term)
-        self._start_segment(_frame(batch))
+        self._start_segment(self._whole_log())
 
 
 def _log_failure(folder, error):
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -7,32 +7,32 @@
 machine.
 """
 
-from dataclasses import dataclass
 from random import SystemRandom
 
 import gevent
-from gevent.event import AsyncResult
 from gevent.event import Event
-from gevent.lock import BoundedSemaphore
 
 from damasklanding.clock import monotonic_ms
+from damasklanding.control.admission import mark_settled
+from damasklanding.control.admission import members_after
+from damasklanding.control.applier import Applier
 from damasklanding.control.election import grant_vote
 from damasklanding.control.election import run_elections
+from damasklanding.control.follower import take_entries
 from damasklanding.control.journal import Vote
 from damasklanding.control.members import Membership
 from damasklanding.control.members import decode_change
 from damasklanding.control.members import decode_members
 from damasklanding.control.members import encode_members
+from damasklanding.control.proposals import Proposals
 from damasklanding.control.replication import Leadership
 from damasklanding.control.snapshots import Incoming
-from damasklanding.control.snapshots import snapshot_due
-from damasklanding.control.snapshots import take_snapshot
+from damasklanding.control.timing import Timing
 from damasklanding.errors import BadInput
 from damasklanding.errors import CorruptStore
 from damasklanding.errors import NotLeader
 from damasklanding.errors import TooLarge
 from damasklanding.errors import Unavailable
-from damasklanding.wire import AppendReply
 from damasklanding.wire import AppendRequest
 from damasklanding.wire import LogEntry
 from damasklanding.wire import Propose
@@ -42,43 +42,22 @@
 from damasklanding.wire import StatusRequest
 from damasklanding.wire import VoteRequest
 
-__all__ = ['Replica', 'Timing']
+__all__ = ['Replica']
 
 PROPOSE_TIMEOUT_MS = 3_000
 LEADER_POLL_MS = 10
-APPLY_CHUNK = 64
 MAX_PAYLOAD_BYTES = 1_048_576
 PROPOSED_KINDS = ('command', 'members')
 HAND_OVER_LIMIT_MS = 500
 
 
-@dataclass(frozen=True)
-class Timing:
-    """
-    Intervals of a replica, and when it cuts its log.
-
-    :ivar election_min_ms: votes are refused for so long after a leader was
-        heard.
-    :ivar election_max_ms: a leader without a quorum's answers for so long
-        steps down.
-    """
-
-    heartbeat_ms: int = 100
-    election_min_ms: int = 600
-    election_max_ms: int = 1_200
-    request_timeout_ms: int = 1_500
-    snapshot_timeout_ms: int = 5_000
-    snapshot_entries: int = 4_096
-    snapshot_bytes: int = 8_388_608
-
-
 class Replica:
     """
     A member of one replication group.
 
     :ivar leader: name of the leader heard last, empty without one.
     :ivar commit_index: index up to which entries are accepted for good.
-    :ivar applied_index: index up to which the machine has applied them.
+    :ivar proposals: :class:`Proposals` that wait for their entries.
     """
 
     def __init__(
@@ -111,22 +90,18 @@
         self.incarnation = ''
         self.leader = ''
         self.leadership = None
-        self.installing = False
         self.commit_index = journal.snapshot.index
-        self.applied_index = journal.snapshot.index
+        self.proposals = Proposals(group)
+        self.applier = Applier(self)
         self.membership = Membership(0, ())
         self.election_wanted = Event()
         self._random = random or SystemRandom()
         self._metrics = metrics
-        self._waiters = {}
         self._incoming = Incoming(self)
-        self._committed = Event()
-        self._applied = Event()
         self._running = False
         self._heard_ms = float('-inf')
         self._deadline_ms = 0
         self._greenlets = []
-        self._snapshot_lock = BoundedSemaphore(1)
         self._handlers = {
             VoteRequest: self._handle_vote,
             AppendRequest: self._handle_append,
@@ -142,6 +117,11 @@
         """Return the latest term seen."""
         return self.journal.vote.term
 
+    @property
+    def applied_index(self):
+        """Return the index up to which the machine has applied entries."""
+        return self.applier.index
+
     @property
     def role(self):
         """Return ``leader``, ``follower`` or ``learner``."""
@@ -162,7 +142,7 @@
         self.postpone_election()
         self._greenlets = [
             gevent.spawn(run_elections, self),
-            gevent.spawn(self._apply_loop),
+            gevent.spawn(self.applier.run),
         ]
 
     def stop(self, hand_over=True):
@@ -234,10 +214,7 @@
 
     def wait_applied(self, index, timeout_ms):
         """Return whether an index was applied here in time."""
-        with gevent.Timeout(timeout_ms / 1000, False):
-            while self.applied_index < index:
-                self._applied.wait()
-        return self.applied_index >= index
+        return self.applier.wait(index, timeout_ms)
 
     # Used by the modules of elections, replication and snapshots.
 
@@ -313,28 +290,48 @@
         self.leader = ''
         leadership.stop()
         self.postpone_election()
-        self._fail_waiters(0)
+        self.proposals.fail_from(0)
         _log('{} stops leading {}: {}', self.name, self.group, reason)
 
     def append_own(self, kind, payload):
         """Append an entry as leader and return its index."""
         entry = LogEntry(self.term, self.journal.last_index + 1, kind, payload)
-        self._append([entry])
+        self.append([entry])
         return entry.index
 
+    def append(self, entries):
+        """Append entries, replacing what stood from the first one."""
+        first = entries[0].index
+        if first <= self.journal.last_index:
+            self.membership.truncate(first)
+            self.proposals.fail_from(first)
+        self.journal.append(entries)
+        for entry in entries:
+            self._note_entry(entry)
+
+    def members_accepted(self, index):
+        """Act on a change of members that is accepted."""
+        self.membership.settle(index)
+        if self.leadership is None:
+            return
+        mark_settled(self.leadership)
+        self.leadership.follow_members()
+        if not self.is_voter():
+            gevent.spawn(self._retire)
+
     def commit(self, index):
         """Accept entries up to an index for good."""
         if index > self.commit_index:
             self.commit_index = index
-            self._committed.set()
+            self.applier.wake()
 
     def restart_at(self, snapshot, members):
         """Continue after a snapshot that replaced the state."""
-        self.applied_index = snapshot.index
         self.commit_index = max(self.commit_index, snapshot.index)
         self.membership = Membership(snapshot.index, members)
         self._note_members(snapshot.index + 1)
-        self._fail_waiters(0)
+        self.proposals.fail_from(0)
+        self.applier.restart_at(snapshot.index)
 
     def _load_membership(self, founders):
         snapshot = self.journal.snapshot
@@ -354,43 +351,14 @@
         elif entry.kind == 'settled':
             self.membership.mark(entry.index, int(entry.payload))
 
-    def _append(self, entries):
-        first = entries[0].index
-        if first <= self.journal.last_index:
-            self.membership.truncate(first)
-            self._fail_waiters(first)
-        self.journal.append(entries)
-        for entry in entries:
-            self._note_entry(entry)
-
     def _propose_here(self, kind, payload, timeout_ms):
         if kind == 'members':
-            members = self.leadership.members_after(decode_change(payload))
+            members = members_after(self.leadership, decode_change(payload))
             if members == self.membership.current:
                 return b''
             payload = encode_members(members)
-        term = self.term
         index = self.leadership.append(kind, payload)
-        result = AsyncResult()
-        self._waiters[index] = (term, result)
-        try:
-            return result.get(timeout=max(timeout_ms, 0) / 1000)
-        except gevent.Timeout:
-            raise self._unknown() from None
-        finally:
-            self._waiters.pop(index, None)
-
-    def _unknown(self):
-        return Unavailable(
-            f'group {self.group} did not accept the change in time, '
-            'its outcome is unknown',
-            'send the same request again, it is applied once',
-        )
-
-    def _fail_waiters(self, first):
-        for index in [index for index in self._waiters if index >= first]:
-            _, result = self._waiters.pop(index)
-            result.set_exception(self._unknown())
+        return self.proposals.wait(index, self.term, timeout_ms)
 
     def _handle_vote(self, _exchange, request):
         self._require_running()
@@ -414,115 +382,16 @@
 
     def _handle_append(self, _exchange, request):
         self._require_running()
-        if request.term < self.term:
-            return self._append_reply(False, 0, request.seq)
-        self.follow(request.term, request.leader)
-        if request.campaign:
-            self.election_wanted.set()
-        hint = self._accept(request)
-        self.journal.sync_vote()
-        if hint is not None:
-            return self._append_reply(False, hint, request.seq)
-        if request.entries:
-            self.journal.sync()
-        if self.term != request.term:
-            return self._append_reply(False, 0, request.seq)
-        match_index = request.previous_index + len(request.entries)
-        self.commit(min(request.commit_index, match_index))
-        return self._append_reply(True, match_index, request.seq)
-
-    def _append_reply(self, success, match_index, seq):
-        return AppendReply(
-            self.term, success, match_index, self.incarnation, seq
-        )
-
-    def _accept(self, request):
-        """Append what is new; where the logs differ, return a hint."""
-        journal = self.journal
-        previous = request.previous_index
-        if previous > journal.last_index:
-            return journal.last_index
-        known = previous >= journal.base_index
-        if known and journal.term_at(previous) != request.previous_term:
-            return max(previous - 1, self.commit_index)
-        fresh = [
-            entry
-            for entry in request.entries
-            if entry.index > journal.base_index
-            and journal.term_at(entry.index) != entry.term
-        ]
-        if not fresh:
-            return None
-        start = fresh[0].index
-        if start <= self.commit_index:
-            raise CorruptStore(f'an accepted entry {start} differs')
-        self._append([e for e in request.entries if e.index >= start])
-        return None
+        return take_entries(self, request)
 
     def _require_running(self):
         if not self._running:
             raise Unavailable(f'{self.name} does not take part yet')
 
-    def _apply_loop(self):
-        while True:
-            self._committed.wait()
-            self._committed.clear()
-            while self._apply_some():
-                gevent.sleep(0)
-            if snapshot_due(self):
-                gevent.spawn(self._cut_log)
-
-    def _apply_some(self):
-        if self.installing:
-            return False
-        last = min(self.commit_index, self.applied_index + APPLY_CHUNK)
-        for index in range(self.applied_index + 1, last + 1):
-            self._apply(self.journal.entry(index))
-        self._wake_applied()
-        return self.applied_index < self.commit_index
-
-    def _wake_applied(self):
-        applied = self._applied
-        self._applied = Event()
-        applied.set()
-
-    def _apply(self, entry):
-        outcome = b''
-        if entry.kind == 'command':
-            outcome = self.machine.apply(entry)
-        self.applied_index = entry.index
-        if entry.kind == 'members':
-            self._members_accepted(entry.index)
-        term, result = self._waiters.pop(entry.index, (0, None))
-        if result is None:
-            return
-        if term == entry.term:
-            result.set(outcome)
-        else:
-            result.set_exception(self._unknown())
-
-    def _members_accepted(self, index):
-        self.membership.settle(index)
-        if self.leadership is None:
-            return
-        self.leadership.mark_settled()
-        self.leadership.follow_members()
-        if not self.is_voter():
-            gevent.spawn(self._retire)
-
     def _retire(self):
         self._hand_over()
         self.step_down('this host is no voter any more')
 
-    def _cut_log(self):
-        with self._snapshot_lock:
-            if not snapshot_due(self) or self.installing:
-                return
-            try:
-                take_snapshot(self)
-            except Unavailable:
-                self.step_down('its log can not be cut')
-
     def _hand_over(self):
         with gevent.Timeout(HAND_OVER_LIMIT_MS / 1000, False):
             while self.leadership is not None:
--- a/damasklanding/control/replication.py
+++ b/damasklanding/control/replication.py
@@ -10,14 +10,11 @@
 import gevent
 from gevent.event import Event
 
-from damasklanding.control.members import Member
-from damasklanding.control.members import changed_members
+from damasklanding.control.admission import admit
+from damasklanding.control.admission import mark_settled
 from damasklanding.control.members import encode_members
-from damasklanding.control.members import quorum_reached
 from damasklanding.control.members import quorum_value
 from damasklanding.control.snapshots import send_snapshot
-from damasklanding.errors import BadInput
-from damasklanding.errors import Conflict
 from damasklanding.errors import DamasklandingError
 from damasklanding.wire import AppendRequest
 
@@ -168,68 +165,11 @@
         except DamasklandingError:
             pass
 
-    def members_after(self, change):
-        """
-        Return the members after an operator's change.
-
-        :raises Conflict: another change is not yet accepted.
-        :raises BadInput: the change makes no sense, or the voters left
-            would not reach a quorum now.
-        """
-        current = self.replica.membership.current
-        members = changed_members(current, change)
-        if members == current:
-            return members
-        if not self._may_change_members():
-            raise Conflict(
-                'another change of members is under way',
-                'wait until it is accepted and send this again',
-            )
-        if not quorum_reached(
-            members, lambda m: m in current and self._is_alive(m)
-        ):
-            raise BadInput(
-                f'without {change.name} no quorum answers now',
-                'bring the other control hosts back first',
-            )
-        return members
-
-    def mark_settled(self):
-        """Let the log tell that the latest change of members stands."""
-        membership = self.replica.membership
-        if membership.is_settled() and not membership.is_marked():
-            index = str(membership.changed_at).encode()
-            self.append('settled', index)
-
-    def _may_change_members(self):
-        commit_index = self.replica.commit_index
-        return (
-            commit_index >= self.first_index
-            and self.replica.membership.is_finished(commit_index)
-        )
-
-    def _is_alive(self, member):
+    def is_alive(self, member):
+        """Return whether a member has answered lately."""
         silent_ms = self.replica.now_ms() - self._acknowledged_ms(member)
         return silent_ms < self.replica.timing.election_max_ms
 
-    def _admit(self, peer):
-        """Record a caught-up peer's new data folder as the one to count."""
-        members = self.replica.membership.current
-        member = self.replica.membership.get(peer.name)
-        if member is None or member.incarnation == peer.incarnation:
-            return
-        caught_up = peer.match_index >= self.replica.commit_index
-        if not caught_up or not self._may_change_members():
-            return
-        admitted = Member(
-            member.name,
-            member.address,
-            peer.incarnation,
-            member.voter or not member.incarnation,
-        )
-        members = tuple(admitted if m is member else m for m in members)
-        self.append('members', encode_members(members))
-
     def _add(self, name):
         peer = Progress(name, self.first_index)
         self.peers[name] = peer
@@ -300,8 +240,8 @@
                 timing.election_min_ms,
             )
             if not self.is_over():
-                self.mark_settled()
-                self._admit(peer)
+                mark_settled(self)
+                admit(self, peer)
             gevent.sleep(timing.heartbeat_ms / 1000)
 
     def _replicate_loop(self, peer):
--- a/damasklanding/control/snapshots.py
+++ b/damasklanding/control/snapshots.py
@@ -128,10 +128,10 @@
     """Replace an older state by a snapshot of committed entries."""
     if snapshot.index <= replica.commit_index:
         return
-    replica.installing = True
+    replica.applier.paused = True
     try:
         replica.journal.save_snapshot(snapshot)
         replica.machine.restore(snapshot.state)
         replica.restart_at(snapshot, decode_members(snapshot.members))
     finally:
-        replica.installing = False
+        replica.applier.paused = False
--- a/tests/replica_net.py
+++ b/tests/replica_net.py
@@ -17,7 +17,7 @@
 from damasklanding.control.members import FOUNDING
 from damasklanding.control.members import Member
 from damasklanding.control.replica import Replica
-from damasklanding.control.replica import Timing
+from damasklanding.control.timing import Timing
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import LinkClosed
 from damasklanding.errors import LinkTimeout
