--- a/damasklanding/claims/client.py
+++ b/damasklanding/claims/client.py
@@ -26,7 +26,8 @@
 
 __all__ = ['ClaimClient']
 
-CLAIM_TIMEOUT_MS = 1_000
+CLAIM_LEAST_MS = 1_000
+CLAIM_MOST_MS = 4_000  # covers an election
 POLL_FIRST_MS = 25
 POLL_LAST_MS = 400
 SETTLE_TIMEOUT_MS = 1_000
@@ -145,7 +146,10 @@
         pause_ms = POLL_FIRST_MS
         while True:
             sent_ms = self._now_ms()
-            reply = self._propose(request.key, payload, CLAIM_TIMEOUT_MS)
+            limit_ms = max(CLAIM_LEAST_MS, deadline_ms - sent_ms)
+            reply = self._propose(
+                request.key, payload, min(CLAIM_MOST_MS, limit_ms)
+            )
             if reply.verdict == 'granted':
                 reply.valid_until_ms = (
                     sent_ms + request.retention_ms * VALIDITY
