Fetch an answer over a new link when the first one breaks

A request that may not repeat had an unknown outcome whenever its peer connection broke or fell silent after it was sent. Its sender now asks the same process over a new connection: a request that never came is fenced off and proven not run, a running one is waited for, and a kept answer is given. A node that restarted, or that had to forget, still means unknown.

Each attempt now has its own mark of being handed over, and the call keeps whether an earlier one was: a refusal of the second attempt could otherwise have hidden that the first had run.

--- a/damasklanding/exchange.py
+++ b/damasklanding/exchange.py
@@ -90,6 +90,7 @@
     :ivar credit: bytes of a streamed body that may be sent now.
     :ivar started: whether the handler has passed the point after which the
         opener can no longer withdraw the request.
+    :ivar survives: whether the handler goes on when the connection breaks.
     """
 
     __slots__ = (
@@ -101,7 +102,9 @@
         'greenlet',
         'cancelled',
         'credit',
+        'entered',
         'started',
+        'survives',
         'withdrawn',
     )
 
@@ -111,7 +114,9 @@
         self.greenlet = None
         self.cancelled = False
         self.credit = INITIAL_CREDIT_BYTES
+        self.entered = False
         self.started = False
+        self.survives = False
         self.withdrawn = False
         self._held_bytes = 0
         self._inbox = deque()
--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -270,7 +270,8 @@
         self._exchanges.clear()
         for exchange in exchanges:
             exchange.deliver(None)
-            self._kill_handler(exchange)
+            if not exchange.survives:
+                self._kill_handler(exchange)
         current = gevent.getcurrent()
         for greenlet in self._greenlets:
             if greenlet is not current:
@@ -355,11 +356,15 @@
             self._kill_handler(exchange)
         elif not exchange.started:
             exchange.withdrawn = True
-            if exchange.greenlet is not None:
+            # Killed before it runs, a greenlet would not even reply.
+            if exchange.entered:
                 exchange.greenlet.kill(ExchangeWithdrawn, block=False)
 
     def _handle(self, handler, exchange, message):
+        exchange.entered = True
         try:
+            if exchange.withdrawn:
+                raise ExchangeWithdrawn
             reply = handler(exchange, message)
             if reply is not None:
                 exchange.send(reply)
--- a/damasklanding/messages.capnp
+++ b/damasklanding/messages.capnp
@@ -45,6 +45,7 @@
     grantReturn @32 :GrantReturn;
     handover @33 :Handover;
     accepted @34 :Accepted;
+    resume @35 :Data;         # packed by msgspec
   }
 }
 
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -18,7 +18,7 @@
 from damasklanding.node.http import Listener
 from damasklanding.node.local import Local
 from damasklanding.node.peers import PeerCaller
-from damasklanding.node.peers import PeerServer
+from damasklanding.node.peerserver import PeerServer
 from damasklanding.node.upstream import Upstream
 
 __all__ = ['Node', 'NodeStatus']
--- a/damasklanding/node/calls.py
+++ b/damasklanding/node/calls.py
@@ -65,7 +65,9 @@
     :ivar deadline_at_ms: on the local monotonic clock.
     :ivar allowance: :class:`Allowance`, shared along the chain.
     :ivar body: :class:`~damasklanding.node.bodies.Body`.
-    :ivar handed: whether a backend server may have been given the request.
+    :ivar handed: whether the present attempt may have given the request to
+        a backend server.
+    :ivar maybe_ran: whether an earlier attempt may have.
     :ivar claimed: whether an idempotency key ties resends to it.
     :ivar exchange: open exchange with the node that serves it.
     :ivar guard: called just before the request is handed over; raises
@@ -87,10 +89,15 @@
     idempotent: bool
     attempt: int = 0
     handed: bool = False
+    maybe_ran: bool = False
     claimed: bool = False
     guard: object = None
     exchange: object = None
 
+    def untouched(self):
+        """Return whether provably no attempt has reached its goal."""
+        return not self.handed and not self.maybe_ran
+
 
 class RunningCall:
     """
--- a/damasklanding/node/egress.py
+++ b/damasklanding/node/egress.py
@@ -105,7 +105,7 @@
             with running.slot.onward():
                 answer = self._forwarder.forward(call)
         except DamasklandingError as error:
-            if not call.handed:
+            if call.untouched():
                 error.outcome = NOT_RUN
             running.note_failure(digest, error.may_retry)
             error.retries_left = call.allowance.left
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -78,7 +78,7 @@
             answer = self._answer(request, passage)
             reason = 'ok' if answer.status < 500 else 'failed'
         except DamasklandingError as error:
-            if passage.call is None or not passage.call.handed:
+            if passage.call is None or passage.call.untouched():
                 error.outcome = passage.outcome or NOT_RUN
             reason = error.code
             answer = answer_from_error(error)
@@ -193,7 +193,7 @@
             guard()
             yield
         except Refusal:
-            if not call.handed:
+            if call.untouched():
                 guard()
             raise
         finally:
@@ -257,4 +257,6 @@
 
 
 def _withdrawn():
-    return KeyRefused('the key was withdrawn')
+    error = KeyRefused('the key was withdrawn')
+    error.outcome = NOT_RUN
+    return error
--- a/damasklanding/node/forward.py
+++ b/damasklanding/node/forward.py
@@ -93,6 +93,8 @@
                 call, tries, attempt, failure
             ):
                 return self._give_up(verdict, tries, failure)
+            call.maybe_ran = not tries.proven
+            call.handed = False
             tries.drop_stream()
 
     def _try(self, call, tries):
--- a/damasklanding/node/once.py
+++ b/damasklanding/node/once.py
@@ -96,11 +96,11 @@
         try:
             yield answers.append
         except DamasklandingError as error:
-            outcome = error.outcome if call.handed else NOT_RUN
+            outcome = NOT_RUN if call.untouched() else error.outcome
             self._settle(call, key, attempt, outcome, None)
             raise
         except BaseException:
-            outcome = UNKNOWN if call.handed else NOT_RUN
+            outcome = NOT_RUN if call.untouched() else UNKNOWN
             self._settle(call, key, attempt, outcome, None)
             raise
         answer = answers[-1] if answers else None
--- a/damasklanding/node/peers.py
+++ b/damasklanding/node/peers.py
@@ -2,37 +2,35 @@
 damasklanding.node.peers
 ~~~~~~~~~~~~~~~~~~~~~~~~
 
-The hop between two nodes: sending a call to the node beside a backend
-server, and serving calls that other nodes send.
+Sends calls to the nodes beside other backend servers.
 """
 
+import gevent
+
 from damasklanding.errors import BadInput
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import DeadlineExceeded
 from damasklanding.errors import LinkClosed
 from damasklanding.errors import LinkTimeout
 from damasklanding.errors import PeerLost
-from damasklanding.errors import Unavailable
 from damasklanding.errors import UpstreamFailed
 from damasklanding.errors import UpstreamTimeout
-from damasklanding.link import problem_from_error
 from damasklanding.node.answers import NOT_RUN
 from damasklanding.node.answers import Answer
-from damasklanding.node.bodies import Body
 from damasklanding.node.bodies import receive_parts
 from damasklanding.node.bodies import send_parts
-from damasklanding.node.calls import Allowance
-from damasklanding.node.calls import Call
-from damasklanding.policy.work import encode_load
 from damasklanding.wire import CallAnswer
 from damasklanding.wire import CallRequest
+from damasklanding.wire import Resume
 
-__all__ = ['PeerCaller', 'PeerServer']
+__all__ = ['PeerCaller']
 
 ANSWER_GRACE_MS = 25  # lets a refusal at the deadline arrive
 PROVE_AFTER_MS = 100  # silence after which a link proves itself first
 PROVE_REPEATABLE_AFTER_MS = 400
 PROVE_TIMEOUT_MS = 150
+RESUME_LIMIT_MS = 3_000
+RESUME_PAUSE_MS = 50
 MAX_DEADLINE_MS = 0xFFFFFFFF
 
 
@@ -46,6 +44,7 @@
     def __init__(self, pool, now_ms):
         self._pool = pool
         self._now_ms = now_ms
+        self._serial = 0
 
     def call(self, address, call, retries):
         """
@@ -69,6 +68,10 @@
             call.handed = True
             call.exchange = exchange
             answer = self._answer(exchange, call)
+        except LinkClosed as error:
+            exchange.close()
+            call.exchange = None
+            return self._resume(address, call, link, request.serial, error)
         except DamasklandingError as error:
             _end(exchange, error)
             raise _judged(error, call) from error
@@ -112,6 +115,7 @@
         if left_ms <= 0:
             raise DeadlineExceeded('no time was left to send it to a node')
         data = call.body.data
+        self._serial += 1
         return CallRequest(
             request_id=call.request_id,
             service=call.service,
@@ -130,26 +134,17 @@
             body_length=-1 if call.body.length is None else call.body.length,
             idempotent=call.idempotent,
             attempt=call.attempt,
+            serial=self._serial,
         )
 
     def _answer(self, exchange, call):
         if call.body.data is None:
             parts = call.body.parts()
             send_parts(exchange, parts, call.deadline_at_ms, self._now_ms)
-        left_ms = call.deadline_at_ms - self._now_ms()
-        message = exchange.receive(left_ms + ANSWER_GRACE_MS)
+        message = self._receive(exchange, call)
         if type(message) is not CallAnswer:
             raise BadInput('a peer sent something else than an answer')
-        answer = Answer(
-            message.status,
-            message.headers,
-            message.body,
-            outcome=message.outcome,
-            may_retry=message.may_retry,
-            retries_left=message.retries_left,
-            retry_after_ms=message.retry_after_ms,
-            load=message.load,
-        )
+        answer = _answer_of(message)
         if message.body_follows:
             length = message.body_length
             answer.length = None if length < 0 else length
@@ -157,6 +152,52 @@
             answer.parts = _counted(parts, exchange, answer.length)
         return answer
 
+    def _receive(self, exchange, call):
+        left_ms = call.deadline_at_ms - self._now_ms()
+        return exchange.receive(left_ms + ANSWER_GRACE_MS)
+
+    def _resume(self, address, call, broken, serial, error):
+        """Ask over a new connection what became of a call."""
+        if call.idempotent or call.body.data is None or not call.handed:
+            raise _judged(error, call) from error
+        until_ms = min(call.deadline_at_ms, self._now_ms() + RESUME_LIMIT_MS)
+        while self._now_ms() < until_ms:
+            message = self._ask(address, call, broken, serial)
+            if message is not None:
+                return _answer_of(message)
+            gevent.sleep(RESUME_PAUSE_MS / 1000)
+        raise _judged(error, call) from error
+
+    def _ask(self, address, call, broken, serial):
+        """Return the answer, None where the connection failed again."""
+        try:
+            link = self._pool.get(address)
+            if link.peer.instance != broken.peer.instance:
+                raise UpstreamFailed('the node restarted under the request')
+            left_ms = call.deadline_at_ms - self._now_ms()
+            request = Resume(serial, max(int(left_ms), 0))
+            with link.exchange(request) as exchange:
+                return self._receive(exchange, call)
+        except (LinkClosed, LinkTimeout) as error:
+            if getattr(error, 'reply', None) is not None:
+                raise
+            return None
+        except DamasklandingError as error:
+            raise _judged(error, call) from error
+
+
+def _answer_of(message):
+    return Answer(
+        message.status,
+        message.headers,
+        message.body,
+        outcome=message.outcome,
+        may_retry=message.may_retry,
+        retries_left=message.retries_left,
+        retry_after_ms=message.retry_after_ms,
+        load=message.load,
+    )
+
 
 def _end(exchange, error):
     if getattr(error, 'reply', None) is None:
@@ -186,100 +227,10 @@
             call.handed = False
         return error
     if not call.handed:
+        error.outcome = NOT_RUN
         return error
     if isinstance(error, LinkTimeout):
         return UpstreamTimeout('the node did not answer in time')
     if isinstance(error, (LinkClosed, BadInput)):
         return PeerLost('the connection to the node broke')
     return error
-
-
-class PeerServer:
-    """
-    Serves calls from other nodes.
-
-    :param local: :class:`~damasklanding.node.local.Local`.
-    :param load: function that returns this node's
-        :class:`~damasklanding.policy.work.LoadReport`.
-    """
-
-    def __init__(self, local, load, now_ms):
-        self._local = local
-        self._load = load
-        self._now_ms = now_ms
-
-    def handlers(self):
-        """Return the link handlers by message class."""
-        return {CallRequest: self.serve}
-
-    def serve(self, exchange, message):
-        """Serve one call; sends the answer or returns the problem."""
-        call = self._call(exchange, message)
-        try:
-            self._serve(exchange, call)
-        except Unavailable as error:
-            if type(error) is LinkClosed:
-                return None
-            return self._problem(error, call)
-        except DamasklandingError as error:
-            return self._problem(error, call)
-        return None
-
-    def _serve(self, exchange, call):
-        answer = self._local.serve(call)
-        try:
-            exchange.send(self._message(answer, call))
-            if answer.parts is not None:
-                send_parts(
-                    exchange, answer.parts, call.deadline_at_ms, self._now_ms
-                )
-        finally:
-            answer.close()
-
-    def _call(self, exchange, message):
-        delay_ms = exchange.link.delay_ms(message.sent_ms)
-        deadline_at_ms = self._now_ms() + message.deadline_ms - delay_ms
-        body = Body(message.body)
-        if message.body_follows:
-            length = message.body_length
-            parts = receive_parts(exchange, deadline_at_ms, self._now_ms)
-            body = Body(None, parts, None if length < 0 else length)
-        return Call(
-            request_id=message.request_id,
-            service=message.service,
-            profile=message.profile,
-            organisation=message.organisation,
-            importance=message.importance,
-            deadline_at_ms=deadline_at_ms,
-            allowance=Allowance(message.retries_left),
-            depth=message.depth,
-            method=message.method,
-            target=message.path,
-            headers=message.headers,
-            body=body,
-            idempotent=message.idempotent,
-            attempt=message.attempt,
-            guard=exchange.start,
-        )
-
-    def _message(self, answer, call):
-        return CallAnswer(
-            status=answer.status,
-            headers=answer.headers,
-            body=answer.body,
-            body_follows=answer.parts is not None,
-            body_length=-1 if answer.length is None else answer.length,
-            retries_left=call.allowance.left,
-            may_retry=answer.may_retry,
-            outcome=answer.outcome,
-            retry_after_ms=answer.retry_after_ms,
-            load=encode_load(self._load()),
-        )
-
-    def _problem(self, error, call):
-        if not call.handed:
-            error.outcome = NOT_RUN
-        error.retries_left = call.allowance.left
-        problem = problem_from_error(error)
-        problem.load = encode_load(self._load())
-        return problem
--- /dev/null
+++ b/damasklanding/node/peerserver.py
@@ -0,0 +1,198 @@
+"""
+damasklanding.node.peerserver
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Serves calls that other nodes send for the backend server beside this one.
+"""
+
+import gevent
+
+from damasklanding.errors import DamasklandingError
+from damasklanding.errors import LinkClosed
+from damasklanding.errors import Unavailable
+from damasklanding.errors import UpstreamFailed
+from damasklanding.errors import UpstreamTimeout
+from damasklanding.exchange import ExchangeCancelled
+from damasklanding.exchange import problem_from_error
+from damasklanding.node.answers import NOT_RUN
+from damasklanding.node.bodies import Body
+from damasklanding.node.bodies import receive_parts
+from damasklanding.node.bodies import send_parts
+from damasklanding.node.calls import Allowance
+from damasklanding.node.calls import Call
+from damasklanding.node.served import ServedCalls
+from damasklanding.policy.work import encode_load
+from damasklanding.wire import CallAnswer
+from damasklanding.wire import CallRequest
+from damasklanding.wire import Resume
+
+__all__ = ['PeerServer']
+
+
+class PeerServer:
+    """
+    Serves calls from other nodes.
+
+    :param local: :class:`~damasklanding.node.local.Local`.
+    :param load: function that returns this node's
+        :class:`~damasklanding.policy.work.LoadReport`.
+    """
+
+    def __init__(self, local, load, now_ms):
+        self._local = local
+        self._load = load
+        self._now_ms = now_ms
+        self._served = ServedCalls(now_ms)
+
+    def handlers(self):
+        """Return the link handlers by message class."""
+        return {CallRequest: self.serve, Resume: self.resume}
+
+    def serve(self, exchange, message):
+        """Serve one call; sends the answer or returns the problem."""
+        call = self._call(exchange, message)
+        if message.idempotent or message.body_follows:
+            return self._serve(exchange, call, _keep_nothing)
+        key = (exchange.link.peer.instance, message.serial)
+        greenlet = gevent.getcurrent()
+        try:
+            served = self._served.begin(key, call.deadline_at_ms, greenlet)
+        except DamasklandingError as error:
+            return self._problem(error, call)
+        call.guard = _surviving(exchange)
+        try:
+            return self._serve(exchange, call, _keeping(served))
+        except ExchangeCancelled:
+            if not call.handed:
+                served.reply = problem_from_error(_left_queue())
+            raise
+        finally:
+            reply = served.reply
+            served.reply = None
+            self._served.end(served, reply, _size_of(reply))
+
+    def resume(self, exchange, message):
+        """Return what became of a call that came over another link."""
+        deadline_at_ms = self._now_ms() + message.deadline_ms
+        key = (exchange.link.peer.instance, message.serial)
+        served = self._served.resume(key, deadline_at_ms)
+        try:
+            ended = served.done.wait(message.deadline_ms / 1000)
+        except ExchangeCancelled:
+            if served.greenlet is not None:
+                served.greenlet.kill(ExchangeCancelled, block=False)
+            raise
+        if not ended:
+            raise UpstreamTimeout('the request still runs')
+        if served.reply is None:
+            raise UpstreamFailed('the answer to the request was not kept')
+        return served.reply
+
+    def _serve(self, exchange, call, keep):
+        try:
+            answer = self._local.serve(call)
+        except DamasklandingError as error:
+            problem = self._problem(error, call)
+            keep(problem)
+            return problem
+        try:
+            return self._send(exchange, call, answer, keep)
+        finally:
+            answer.close()
+
+    def _send(self, exchange, call, answer, keep):
+        message = self._message(answer, call)
+        if answer.parts is None:
+            keep(message)
+            return message
+        try:
+            exchange.send(message)
+            send_parts(
+                exchange, answer.parts, call.deadline_at_ms, self._now_ms
+            )
+        except LinkClosed:
+            return None
+        except DamasklandingError as error:
+            return self._problem(error, call)
+        return None
+
+    def _call(self, exchange, message):
+        delay_ms = exchange.link.delay_ms(message.sent_ms)
+        deadline_at_ms = self._now_ms() + message.deadline_ms - delay_ms
+        body = Body(message.body)
+        if message.body_follows:
+            length = message.body_length
+            parts = receive_parts(exchange, deadline_at_ms, self._now_ms)
+            body = Body(None, parts, None if length < 0 else length)
+        return Call(
+            request_id=message.request_id,
+            service=message.service,
+            profile=message.profile,
+            organisation=message.organisation,
+            importance=message.importance,
+            deadline_at_ms=deadline_at_ms,
+            allowance=Allowance(message.retries_left),
+            depth=message.depth,
+            method=message.method,
+            target=message.path,
+            headers=message.headers,
+            body=body,
+            idempotent=message.idempotent,
+            attempt=message.attempt,
+            guard=exchange.start,
+        )
+
+    def _message(self, answer, call):
+        return CallAnswer(
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            body_follows=answer.parts is not None,
+            body_length=-1 if answer.length is None else answer.length,
+            retries_left=call.allowance.left,
+            may_retry=answer.may_retry,
+            outcome=answer.outcome,
+            retry_after_ms=answer.retry_after_ms,
+            load=encode_load(self._load()),
+        )
+
+    def _problem(self, error, call):
+        if not call.handed:
+            error.outcome = NOT_RUN
+        error.retries_left = call.allowance.left
+        problem = problem_from_error(error)
+        problem.load = encode_load(self._load())
+        return problem
+
+
+def _keep_nothing(_reply):
+    return None
+
+
+def _keeping(served):
+    """Return a function that keeps the reply to a call."""
+
+    def keep(reply):
+        served.reply = reply
+
+    return keep
+
+
+def _surviving(exchange):
+    """Return a guard after which a broken link no longer ends the call."""
+
+    def guard():
+        exchange.start()
+        exchange.survives = True
+
+    return guard
+
+
+def _left_queue():
+    error = Unavailable('the connection broke before the request was run')
+    error.outcome = NOT_RUN
+    return error
+
+
+def _size_of(reply):
+    return len(getattr(reply, 'body', b''))
--- a/damasklanding/wire.py
+++ b/damasklanding/wire.py
@@ -158,6 +158,7 @@
         receiver how long the frame was held up.
     :ivar headers: names in lower case and values, alternating.
     :ivar body_length: size of a streamed body, -1 where unknown.
+    :ivar serial: unique among the calls that the sending process makes.
     """
 
     request_id: str
@@ -177,6 +178,7 @@
     body_length: int = 0
     idempotent: bool = False
     attempt: int = 0
+    serial: int = 0
 
 
 @packed_message('callAnswer')
@@ -199,6 +201,19 @@
     load: bytes = b''
 
 
+@packed_message('resume')
+class Resume(msgspec.Struct, array_like=True, gc=False):
+    """
+    Asks for the answer to a call that was sent over a broken connection.
+
+    :ivar serial: that of the call.
+    :ivar deadline_ms: time left when sent.
+    """
+
+    serial: int
+    deadline_ms: int
+
+
 @message('bodyChunk')
 class BodyChunk:
     """A part of a streamed body; the last one is marked."""
