Count burn from the requests counter and log faults of the API

A node's request counter now feeds its burn recorder through a listener, so the data path counts once. A fault in an API handler is logged with its kind and counted. A node that shares its process with a control host has no watch of its own and counted as lagging for good; it is where that host is.

--- a/damasklanding/burn.py
+++ b/damasklanding/burn.py
@@ -69,7 +69,6 @@
     )
 )
 GOOD = 'ok'
-LATE = 'late'
 
 #: Judgement, the two windows that must both burn, and the rate of each.
 JUDGEMENTS = (
@@ -98,24 +97,14 @@
     def __init__(self):
         self._counts = {}
 
-    def finished(self, passage, reason, latency_ms, objective_latency_ms):
-        """
-        Count a request that has ended.
-
-        :param passage: has ``service``, ``profile`` and ``organisation``.
-        :param reason: ``ok``, ``failed`` or an error code.
-        """
-        if reason in CALLER_REASONS:
+    def counted(self, labels, amount):
+        """Record a count of ``requests_total``, with its labels."""
+        service, profile, organisation, _, reason = labels
+        if not service or reason in CALLER_REASONS:
             return
-        if reason == GOOD and latency_ms > objective_latency_ms:
-            reason = LATE
-        self.record(
-            passage.service,
-            passage.profile,
-            passage.organisation,
-            reason == GOOD,
-            reason,
-        )
+        good = reason == GOOD
+        for _ in range(amount):
+            self.record(service, profile, organisation, good, reason)
 
     def record(self, service, profile, organisation, good, reason=''):
         """Count one request by how it ended."""
--- a/damasklanding/control/admin.py
+++ b/damasklanding/control/admin.py
@@ -11,6 +11,7 @@
 
 import bottle
 import gevent
+from loguru import logger
 import msgspec
 
 from damasklanding.clock import monotonic_ms
@@ -125,6 +126,10 @@
         except DamasklandingError as error:
             metrics.add('input_errors_total', 'admin', error.code)
             return problem_answer(error)
+        except Exception:
+            metrics.add('input_errors_total', 'admin', 'internal')
+            logger.exception('administration call failed')
+            raise
 
     return guarded
 
@@ -259,6 +264,7 @@
         items = list(host.watchers())
         return _answer(
             host,
+            name=host.status().name,
             items=items,
             lagging=[item.name for item in items if item.revision < revision],
         )
--- a/damasklanding/metrics.py
+++ b/damasklanding/metrics.py
@@ -67,6 +67,7 @@
         self._counts = {}
         self._gauges = {}
         self._collectors = []
+        self._listeners = {}
 
     def add(self, name, *labels, amount=1):
         """
@@ -80,6 +81,13 @@
             key = self._new_series(key)
             count = self._counts.get(key, 0)
         self._counts[key] = count + amount
+        listener = self._listeners.get(name)
+        if listener is not None:
+            listener(labels, amount)
+
+    def listen(self, name, listener):
+        """Call a function with labels and amount on each count of a name."""
+        self._listeners[name] = listener
 
     def set(self, name, value, *labels):
         """Set a declared gauge."""
--- a/damasklanding/telemetry.py
+++ b/damasklanding/telemetry.py
@@ -47,12 +47,16 @@
     """
     Node side: builds the status of the next heartbeat.
 
+    :param load_report: returns the node's LoadReport.
+    :param metrics: its counts of requests are recorded, where it is given.
     :ivar burn: :class:`damasklanding.burn.BurnRecorder`.
     """
 
-    def __init__(self, load_report=None):
+    def __init__(self, load_report=None, metrics=None):
         self.burn = BurnRecorder()
         self._load_report = load_report
+        if metrics is not None:
+            metrics.listen('requests_total', self.burn.counted)
 
     def take(self):
         """Return the bytes for the heartbeat's status."""
--- a/damasklanding/waiting.py
+++ b/damasklanding/waiting.py
@@ -40,23 +40,31 @@
     """
     Ask every control host once.
 
+    A node that shares its process with a control host needs no watch; it is
+    where that control host is.
+
     :param client: :class:`damasklanding.adminclient.AdminClient`.
     :raises DamasklandingError: where no control host answered.
     """
     replies = client.call_each(path_of('watchers', revision=revision))
     good = answered(replies)
-    present = _instances_in_force(good, revision)
-    expected = _registered(client)
+    here = [reply for reply in good if reply.body['revision'] >= revision]
     behind = [
-        f'control host at {reply.address}'
+        f'control host {reply.body["name"]}'
         for reply in good
-        if reply.body['revision'] < revision
+        if reply not in here
     ]
-    lagging = sorted(expected - present)
+    present = _instances_in_force(good, revision)
+    shared = {reply.body['name'] for reply in here}
+    lagging = sorted(
+        name
+        for name, instance in _registered(client)
+        if (name, instance) not in present and name not in shared
+    )
     return InForce(
         revision,
-        len(expected & present),
-        [name for name, _ in lagging] + behind,
+        len(present),
+        lagging + behind,
         [reply.address for reply in replies if reply.error is not None],
     )
 
@@ -72,7 +80,7 @@
 
 def _registered(client):
     backends = client.call('GET', path_of('backends'))['items']
-    return {(item['name'], item['instance']) for item in backends}
+    return [(item['name'], item['instance']) for item in backends]
 
 
 def wait_in_force(client, revision, timeout_ms, now_ms=monotonic_ms):
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -10,6 +10,7 @@
 from damasklanding.fleet.commands import Outcome
 from damasklanding.fleet.resources import Backend
 from damasklanding.fleet.resources import DataCentre
+from damasklanding.logs import configure_logs
 from damasklanding.policy.work import LoadReport
 from damasklanding.snapshot import decode_snapshot
 from damasklanding.telemetry import NodeTelemetry
@@ -271,8 +272,12 @@
 
 def test_fault_in_a_handler_is_a_problem_without_details(made):
     app, host, _, _ = made
+    lines = []
+    configure_logs(sink=lines.append)
     host.history = lambda limit: 1 / 0
     answer = call(app, 'GET', '/v1/history')
+    configure_logs()
+    assert 'ZeroDivisionError' in lines[0]
     assert (answer.status, answer.json['code']) == (500, 'internal')
     assert b'division' not in answer.body
 
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -193,6 +193,14 @@
     assert result.exit_code == 8
 
 
+def test_node_within_a_control_host_is_where_the_host_is(fleet):
+    register(fleet, 'c1')
+    admin = fleet.addresses[0]
+    assert fleet.run('wait', '1', admin=admin).exit_code == 0
+    late = fleet.run('wait', '2', '--wait-timeout', '0.1', admin=admin)
+    assert (late.exit_code, 'c1' in late.output) == (8, True)
+
+
 def test_unreachable_control_host_is_named_but_does_not_fail(fleet):
     register(fleet, 'n1')
     fleet.host.watching = [Watcher('n1', 'i', 9, 0)]
