Refuse early by pressure, record burn and serve operations

Cause: the policy's pressure, the burn recorder and the operations page were not joined to the data path. Change: the entry checks and teaches pressure, judges each finished request by its profile's objective, and every process serves metrics, health and status. Pressure is asked at the entry alone; a refusal deeper in the chain saves no work.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -67,7 +67,8 @@
 
 def withdraw_key(stage):
     """Withdraw an organisation's key while its callers stay connected."""
-    organisation = ORGANISATIONS[stage.random.randrange(4, 8)]
+    small = [o for o in ORGANISATIONS[4:] if o not in stage.withdrawn_ms]
+    organisation = stage.random.choice(small)
     stage.fleet.operator.withdraw_key(organisation)
     stage.withdrawn_ms[organisation] = now_ms()
 
--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -10,6 +10,7 @@
 from uuid import uuid4
 
 import gevent
+import msgspec
 
 from damasklanding.clock import monotonic_ms
 from damasklanding.link import Identity
@@ -23,6 +24,23 @@
 
 BEAT_MS = 300
 RETRY_RESERVE = 10
+LEADERLESS_MS = 3_000
+OVER_RATE_STATUS = 429
+
+
+class DaemonStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    A daemon's account of itself.
+
+    :ivar age_ms: age of the proof of freshness, None without one.
+    """
+
+    name: str
+    data_centre: str
+    term: int
+    revision: int
+    age_ms: int | None
+    roles: list
 
 
 class Daemon:
@@ -58,6 +76,7 @@
             self.control = _ControlRole(self)
         if 'node' in settings.roles:
             self.node = _NodeRole(self)
+        self.operations = _operations_server(self)
 
     @property
     def view(self):
@@ -67,6 +86,8 @@
     def start(self):
         """Start all parts; the listeners for work come last."""
         self.server.start()
+        if self.operations is not None:
+            self.operations.start()
         if self.control is not None:
             self.control.start()
         if self.node is not None:
@@ -78,13 +99,31 @@
             self.node.stop(self.settings.drain_timeout_ms)
         if self.control is not None:
             self.control.stop()
+        if self.operations is not None:
+            self.operations.stop(timeout=0)
         self.server.stop()
         self.pool.close()
 
+    def roles(self):
+        """Return the roles of this process."""
+        return [role for role in (self.control, self.node) if role is not None]
+
     def status(self):
-        """Return the statuses of the roles of this process."""
-        roles = (self.control, self.node)
-        return [role.status() for role in roles if role is not None]
+        """Return a :class:`DaemonStatus`."""
+        view = self.view
+        age_ms = view.age_ms()
+        return DaemonStatus(
+            name=self.settings.name,
+            data_centre=self.settings.data_centre,
+            term=view.state.term,
+            revision=view.state.revision,
+            age_ms=None if age_ms == float('inf') else int(age_ms),
+            roles=[role.status() for role in self.roles()],
+        )
+
+    def problem(self):
+        """Return what keeps this process from serving, empty if nothing."""
+        return '; '.join(filter(None, (r.problem() for r in self.roles())))
 
     def _load_bytes(self):
         return self.node.load_bytes() if self.node else b''
@@ -134,6 +173,12 @@
         self.ticker.stop()
         self.host.stop()
 
+    def problem(self):
+        """Return what keeps the control host from serving."""
+        if self.host.view.age_ms() > LEADERLESS_MS:
+            return 'no leader with a quorum is known'
+        return ''
+
     def status(self):
         """Return the control host's status."""
         return self.host.status()
@@ -159,6 +204,7 @@
         from damasklanding.node.view import FleetView
         from damasklanding.node.watch import WatchClient
         from damasklanding.policy.gate import build_gate
+        from damasklanding.policy.pressure import Pressure
         from damasklanding.policy.retry import RetryBudget
         from damasklanding.policy.routing import Router
         from damasklanding.telemetry import NodeTelemetry
@@ -169,6 +215,7 @@
         self.view = control.host.view if control else FleetView()
         self.gate = build_gate('')
         self.telemetry = NodeTelemetry(self.gate.load)
+        self._fresh_limit_ms = settings.fresh_limit_ms
         client = ControlClient(daemon.pool, settings.control_hosts)
         self.registration = Registration(
             Backend(
@@ -223,8 +270,10 @@
             self.holdings,
             ClaimClient(client, monotonic_ms, daemon.metrics),
             daemon.metrics,
+            Pressure(monotonic_ms, random.Random(identity.instance).random),
             on_announce=self.registration.announce,
             want=self.watch.want,
+            on_finished=_burn_recording(self.view, self.telemetry.burn),
         )
         daemon.handlers.update(self.owner.handlers())
         daemon.handlers.update(self.node.handlers())
@@ -253,6 +302,12 @@
         self.watch.stop()
         self.node.stop()
 
+    def problem(self):
+        """Return what keeps the node from serving, empty if nothing."""
+        if self.view.age_ms() > self._fresh_limit_ms:
+            return 'the configuration is not proved fresh'
+        return ''
+
     def load_bytes(self):
         """Return this node's encoded load report."""
         from damasklanding.policy.work import encode_load
@@ -303,3 +358,31 @@
     return WSGIServer(
         parse_address(settings.admin_address), app, log=None, error_log=None
     )
+
+
+def _operations_server(daemon):
+    from gevent.pywsgi import WSGIServer
+
+    from damasklanding.operations import operations_app
+
+    address = daemon.settings.operations_address
+    if not address:
+        return None
+    app = operations_app(daemon.metrics, daemon.problem, daemon.status)
+    return WSGIServer(parse_address(address), app, log=None, error_log=None)
+
+
+def _burn_recording(view, burn):
+    """Return a function that judges a finished request by its objective."""
+
+    def record(service, profile, organisation, status, took_ms, reason):
+        if status == OVER_RATE_STATUS:
+            return  # spends the organisation's rate, not the objective
+        held = view.state.get('profile', profile)
+        limit_ms = held.objective_latency_ms if held else float('inf')
+        if status < 500 and took_ms > limit_ms:
+            reason = 'slow'
+        good = status < 500 and took_ms <= limit_ms
+        burn.record(service, profile, organisation, good, reason)
+
+    return record
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -61,14 +61,14 @@
     :param gate: :class:`~damasklanding.policy.gate.Gate`.
     :param router: :class:`~damasklanding.policy.routing.Router`.
     :param retry_budget: :class:`~damasklanding.policy.retry.RetryBudget`.
-    :param pressure: function of service and importance; raises where the
-        service is known to be overloaded.
+    :param pressure: :class:`~damasklanding.policy.pressure.Pressure`.
     :param holdings: :class:`~damasklanding.budget.holdings.Holdings`.
     :param claims: :class:`~damasklanding.claims.client.ClaimClient`.
     :param metrics: :class:`~damasklanding.metrics.Metrics`.
     :param on_announce: called with each
         :class:`~damasklanding.node.registration.Announcement`.
     :param want: function of a service's name, called before its first use.
+    :param on_finished: see :class:`~damasklanding.node.entry.Entry`.
     :ivar service: service of the backend server beside this node.
     """
 
@@ -83,9 +83,10 @@
         holdings,
         claims,
         metrics,
-        pressure=_nothing,
+        pressure,
         on_announce=_nothing,
         want=_nothing,
+        on_finished=_nothing,
     ):
         self.service = ''
         self._settings = settings
@@ -126,6 +127,7 @@
             pressure,
             want,
             metrics,
+            on_finished,
         )
         egress = Egress(
             settings,
@@ -133,7 +135,6 @@
             self._table,
             forwarder,
             retry_budget,
-            pressure,
             want,
             self._announce,
         )
--- a/damasklanding/node/egress.py
+++ b/damasklanding/node/egress.py
@@ -43,7 +43,6 @@
     :param table: :class:`~damasklanding.node.calls.CallTable`.
     :param forwarder: :class:`~damasklanding.node.forward.Forwarder`.
     :param budget: :class:`~damasklanding.policy.retry.RetryBudget`.
-    :param pressure: see :class:`~damasklanding.node.entry.Entry`.
     :param on_announce: called with each
         :class:`~damasklanding.node.registration.Announcement`.
     """
@@ -55,7 +54,6 @@
         table,
         forwarder,
         budget,
-        pressure,
         want,
         on_announce,
     ):
@@ -64,7 +62,6 @@
         self._table = table
         self._forwarder = forwarder
         self._budget = budget
-        self._pressure = pressure
         self._want = want
         self._on_announce = on_announce
         self._now_ms = view.now_ms
@@ -101,7 +98,6 @@
 
     def _forward(self, call, running, digest):
         try:
-            self._pressure(call.service, call.importance)
             with running.slot.onward():
                 answer = self._forwarder.forward(call)
         except DamasklandingError as error:
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -14,7 +14,9 @@
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import DeadlineExceeded
 from damasklanding.errors import KeyRefused
+from damasklanding.errors import Overloaded
 from damasklanding.errors import Refusal
+from damasklanding.errors import UpstreamTimeout
 from damasklanding.headers import DEADLINE_MS
 from damasklanding.headers import IDEMPOTENCY_KEY
 from damasklanding.headers import KEY
@@ -32,6 +34,9 @@
 __all__ = ['Entry']
 
 REQUEST_ID_BYTES = 8
+_OVERLOAD_CODES = frozenset(
+    (Overloaded.code, DeadlineExceeded.code, UpstreamTimeout.code)
+)
 
 
 class Entry:
@@ -41,9 +46,10 @@
     :param forwarder: :class:`~damasklanding.node.forward.Forwarder`.
     :param holdings: :class:`~damasklanding.budget.holdings.Holdings`.
     :param claims: :class:`~damasklanding.claims.client.ClaimClient`.
-    :param pressure: function of service and importance that raises where
-        the service is known to be overloaded.
+    :param pressure: :class:`~damasklanding.policy.pressure.Pressure`.
     :param want: function that makes a service's backend servers known.
+    :param on_finished: called with service, profile and organisation, the
+        answer's status, the time taken in milliseconds and the reason.
     """
 
     def __init__(
@@ -56,6 +62,7 @@
         pressure,
         want,
         metrics,
+        on_finished,
     ):
         self._settings = settings
         self._view = view
@@ -65,6 +72,7 @@
         self._pressure = pressure
         self._want = want
         self._metrics = metrics
+        self._on_finished = on_finished
         self._now_ms = view.now_ms
         self._wanted = set()
         self._open = {}
@@ -73,7 +81,7 @@
     def application(self, environ, start_response):
         """Answer one request; a WSGI application."""
         request = environ['damasklanding.request']
-        passage = _Passage()
+        passage = _Passage(self._now_ms())
         try:
             answer = self._answer(request, passage)
             reason = 'ok' if answer.status < 500 else 'failed'
@@ -83,6 +91,8 @@
             reason = error.code
             answer = answer_from_error(error)
         self._count(passage, answer, reason)
+        if passage.checked:
+            self._note_pressure(passage, answer, reason)
         start_response(status_line(answer.status), answer.pairs())
         if answer.parts is None:
             return (answer.body,)
@@ -101,6 +111,7 @@
         passage.call = call
         with self._followed(call, digest, request):
             self._take(call, organisation, profile)
+            passage.checked = True
             self._make_known(call.service)
             key = request.named.get(IDEMPOTENCY_KEY)
             if key is None or profile.idempotent:
@@ -160,7 +171,7 @@
             raise DeadlineExceeded('the request brought no time')
         wait_ms = min(profile.longest_wait_ms, int(left_ms))
         self._holdings.take(organisation, wait_ms)
-        self._pressure(call.service, call.importance)
+        self._pressure.check(call.service, call.profile, call.importance)
 
     def _make_known(self, service):
         if service not in self._wanted:
@@ -219,19 +230,52 @@
             answer.outcome,
             reason,
         )
+        if passage.organisation:
+            took_ms = self._now_ms() - passage.arrived_ms
+            self._on_finished(
+                passage.service,
+                passage.profile,
+                passage.organisation,
+                answer.status,
+                took_ms,
+                reason,
+            )
+
+    def _note_pressure(self, passage, answer, reason):
+        # A failed answer that no retry would mend is that of a chain which
+        # was refused, or ran out of time or retries, further down.
+        overloaded = reason in _OVERLOAD_CODES or (
+            answer.status >= 500 and not answer.may_retry
+        )
+        call = passage.call
+        self._pressure.note(
+            call.service, call.profile, call.importance, overloaded
+        )
 
 
 class _Passage:
     """
     What is known of a request so far.
 
+    :ivar arrived_ms: when its head had been read.
+    :ivar checked: whether it was let through by rate and pressure.
     :ivar outcome: outcome of an earlier request with the same key.
     """
 
-    __slots__ = ('call', 'organisation', 'outcome', 'profile', 'service')
-
-    def __init__(self):
+    __slots__ = (
+        'arrived_ms',
+        'call',
+        'checked',
+        'organisation',
+        'outcome',
+        'profile',
+        'service',
+    )
+
+    def __init__(self, arrived_ms):
+        self.arrived_ms = arrived_ms
         self.call = None
+        self.checked = False
         self.organisation = ''
         self.outcome = None
         self.profile = ''
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -29,6 +29,7 @@
 from damasklanding.node.registration import Announcement
 from damasklanding.node.view import FleetView
 from damasklanding.node.view import key_digest
+from damasklanding.policy.pressure import Pressure
 from damasklanding.policy.retry import RetryBudget
 from damasklanding.policy.routing import Router
 from damasklanding.policy.work import LoadReport
@@ -204,6 +205,7 @@
             FreeHoldings(),
             fleet.claims,
             self.metrics,
+            Pressure(monotonic_ms, random.Random(1).random),
             on_announce=self.announced.append,
         )
         self.links = LinkServer(
