Count late answers as such, so that the burn sees them

Cause: the burn recorder listens to the requests counter, which knew no latency, and a second path judged it beside. Change: one path; an answer slower than its profile's objective is counted with reason late. Before: two recorders, one unused.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -25,7 +25,6 @@
 BEAT_MS = 300
 RETRY_RESERVE = 10
 LEADERLESS_MS = 3_000
-OVER_RATE_STATUS = 429
 
 
 class DaemonStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -214,7 +213,7 @@
         control = daemon.control
         self.view = control.host.view if control else FleetView()
         self.gate = build_gate('')
-        self.telemetry = NodeTelemetry(self.gate.load)
+        self.telemetry = NodeTelemetry(self.gate.load, daemon.metrics)
         self._fresh_limit_ms = settings.fresh_limit_ms
         client = ControlClient(daemon.pool, settings.control_hosts)
         self.registration = Registration(
@@ -273,7 +272,6 @@
             Pressure(monotonic_ms, random.Random(identity.instance).random),
             on_announce=self.registration.announce,
             want=self.watch.want,
-            on_finished=_burn_recording(self.view, self.telemetry.burn),
         )
         daemon.handlers.update(self.owner.handlers())
         daemon.handlers.update(self.node.handlers())
@@ -370,19 +368,3 @@
         return None
     app = operations_app(daemon.metrics, daemon.problem, daemon.status)
     return WSGIServer(parse_address(address), app, log=None, error_log=None)
-
-
-def _burn_recording(view, burn):
-    """Return a function that judges a finished request by its objective."""
-
-    def record(service, profile, organisation, status, took_ms, reason):
-        if status == OVER_RATE_STATUS:
-            return  # spends the organisation's rate, not the objective
-        held = view.state.get('profile', profile)
-        limit_ms = held.objective_latency_ms if held else float('inf')
-        if status < 500 and took_ms > limit_ms:
-            reason = 'slow'
-        good = status < 500 and took_ms <= limit_ms
-        burn.record(service, profile, organisation, good, reason)
-
-    return record
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -68,7 +68,6 @@
     :param on_announce: called with each
         :class:`~damasklanding.node.registration.Announcement`.
     :param want: function of a service's name, called before its first use.
-    :param on_finished: see :class:`~damasklanding.node.entry.Entry`.
     :ivar service: service of the backend server beside this node.
     """
 
@@ -86,7 +85,6 @@
         pressure,
         on_announce=_nothing,
         want=_nothing,
-        on_finished=_nothing,
     ):
         self.service = ''
         self._settings = settings
@@ -127,7 +125,6 @@
             pressure,
             want,
             metrics,
-            on_finished,
         )
         egress = Egress(
             settings,
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -48,8 +48,6 @@
     :param claims: :class:`~damasklanding.claims.client.ClaimClient`.
     :param pressure: :class:`~damasklanding.policy.pressure.Pressure`.
     :param want: function that makes a service's backend servers known.
-    :param on_finished: called with service, profile and organisation, the
-        answer's status, the time taken in milliseconds and the reason.
     """
 
     def __init__(
@@ -62,7 +60,6 @@
         pressure,
         want,
         metrics,
-        on_finished,
     ):
         self._settings = settings
         self._view = view
@@ -72,7 +69,6 @@
         self._pressure = pressure
         self._want = want
         self._metrics = metrics
-        self._on_finished = on_finished
         self._now_ms = view.now_ms
         self._wanted = set()
         self._open = {}
@@ -84,7 +80,7 @@
         passage = _Passage(self._now_ms())
         try:
             answer = self._answer(request, passage)
-            reason = 'ok' if answer.status < 500 else 'failed'
+            reason = self._judge(answer, passage)
         except DamasklandingError as error:
             if passage.call is None or passage.call.untouched():
                 error.outcome = passage.outcome or NOT_RUN
@@ -103,6 +99,7 @@
             request.method, request.path, internal_allowed=False
         )
         passage.profile = profile.name
+        passage.objective_latency_ms = profile.objective_latency_ms
         self._view.require_fresh(self._settings.fresh_limit_ms)
         organisation, digest = self._authenticate(request)
         passage.organisation = organisation.name
@@ -221,6 +218,12 @@
             for open_call in list(self._open.pop(digest)):
                 open_call.withdraw()
 
+    def _judge(self, answer, passage):
+        if answer.status >= 500:
+            return 'failed'
+        took_ms = self._now_ms() - passage.arrived_ms
+        return 'late' if took_ms > passage.objective_latency_ms else 'ok'
+
     def _count(self, passage, answer, reason):
         self._metrics.add(
             'requests_total',
@@ -230,16 +233,6 @@
             answer.outcome,
             reason,
         )
-        if passage.organisation:
-            took_ms = self._now_ms() - passage.arrived_ms
-            self._on_finished(
-                passage.service,
-                passage.profile,
-                passage.organisation,
-                answer.status,
-                took_ms,
-                reason,
-            )
 
     def _note_pressure(self, passage, answer, reason):
         # A failed answer that no retry would mend is that of a chain which
@@ -266,6 +259,7 @@
         'arrived_ms',
         'call',
         'checked',
+        'objective_latency_ms',
         'organisation',
         'outcome',
         'profile',
@@ -276,6 +270,7 @@
         self.arrived_ms = arrived_ms
         self.call = None
         self.checked = False
+        self.objective_latency_ms = 0
         self.organisation = ''
         self.outcome = None
         self.profile = ''
