Tell a slower backend server from an overloaded one by shrinking

A threefold slowdown collapsed the limit for seconds: the usual time adapted while the limit shrank, and a limit that had never been in use was taken for a fall. Now the usual time rests while the limit shrinks, and times that stay long while the load falls by far rescale it at once. Time in onward calls counts on both sides of the ratio, since a slot is held for it.

--- a/damasklanding/policy/gate.py
+++ b/damasklanding/policy/gate.py
@@ -35,6 +35,7 @@
     The right to run one call at the backend server.
 
     :ivar waited_ms: time spent in the queue.
+    :ivar onward_ms: time spent in onward calls.
     """
 
     def __init__(self, call, now_ms, waited_ms):
@@ -44,10 +45,9 @@
         self.service_time_ms = None
         self._answered_ms = None
         self._now_ms = now_ms
-        self.went_onward = False
         self._onward = 0
         self._onward_since_ms = 0.0
-        self._onward_ms = 0.0
+        self.onward_ms = 0.0
 
     def finish(self, result, service_time_ms=None):
         """
@@ -79,20 +79,19 @@
         if not self._onward:
             self._onward_since_ms = now_ms
         self._onward += 1
-        self.went_onward = self.call.onward = True
+        self.call.onward = True
         try:
             yield
         finally:
             self._onward -= 1
             if not self._onward:
-                self.call.onward = False
-                self._onward_ms += self._now_ms() - self._onward_since_ms
+                self.onward_ms += self._now_ms() - self._onward_since_ms
 
     def own_time_ms(self):
         """Return the service time without that of onward calls."""
         if self.service_time_ms is None:
             return 0.0
-        return max(0.0, self.service_time_ms - self._onward_ms)
+        return max(0.0, self.service_time_ms - self.onward_ms)
 
 
 class Gate:
@@ -229,7 +228,7 @@
             held_ms = self._now_ms() - slot.call.started_ms
             self._times.learn(slot.call.profile, held_ms)
         self.limiter.end(
-            slot.call, slot.result, slot.own_time_ms(), slot.went_onward
+            slot.call, slot.result, slot.own_time_ms(), slot.onward_ms
         )
         self._dispatch()
 
--- a/damasklanding/policy/latency.py
+++ b/damasklanding/policy/latency.py
@@ -57,12 +57,25 @@
         usual = self._usual.get(name)
         return exp(usual.log_ms) if usual else 0.0
 
-    def ratio(self, name, time_ms):
-        """Return a time as a multiple of the usual, 1.0 where unknown."""
+    def ratio(self, name, time_ms, onward_ms=0.0):
+        """
+        Return a time as a multiple of the usual, 1.0 where unknown.
+
+        Time in onward calls counts on both sides: a slot is held for it,
+        so that a wait for a slot grows with it.
+        """
         usual = self._usual.get(name)
         if usual is None or usual.samples < FIRST_SAMPLES:
             return 1.0
-        return max(time_ms, 0.01) / exp(usual.log_ms)
+        usual_ms = exp(usual.log_ms) + onward_ms
+        return max(time_ms + onward_ms, 0.01) / usual_ms
+
+    def mean_ms(self):
+        """Return the mean of the usual times, 0.0 where none is known."""
+        if not self._usual:
+            return 0.0
+        times_ms = [exp(usual.log_ms) for usual in self._usual.values()]
+        return sum(times_ms) / len(times_ms)
 
     def late_ms(self, name):
         """Return the time above which a call of a class is late."""
--- a/damasklanding/policy/limiter.py
+++ b/damasklanding/policy/limiter.py
@@ -27,9 +27,11 @@
 # Cold: doubles while nothing speaks against it, else grows along a line.
 FIRST_STEP_MS = 250.0
 DOUBLING_MS = 400.0
+DOUBLING_ROUNDS = 8.0  # service times that a doubling takes at least
 MAX_DOUBLINGS = 10.0
 PACE_SHARE = 0.85
-PROVEN_RATIO = 1.5
+PROVEN_RATIO = 1.25
+SMOOTH_SHARE = 0.2
 PROVEN_GROWTH = 1.3  # above the highest load that was answered in time
 COLD_MAX_MS = 30_000.0
 COLD_QUIET_MS = 5_000.0  # ends a cold start without a sign of overload
@@ -82,7 +84,8 @@
     A call in progress at the backend server.
 
     :ivar running: calls in progress, this one included, when it began.
-    :ivar onward: whether it waits for an onward call now.
+    :ivar onward: whether it made onward calls, which make its age say
+        nothing.
     :ivar probe: whether it began while new calls were held.
     """
 
@@ -154,20 +157,22 @@
         self._calls[call] = None
         return call
 
-    def end(self, call, result, own_time_ms, went_onward=False):
+    def end(self, call, result, own_time_ms, onward_ms=0.0):
         """
         Take a call off and learn from its result.
 
+        A call that made onward calls holds its slot meanwhile, but their
+        time and failures say nothing about this backend server.
+
         :param own_time_ms: service time without that of onward calls.
-        :param went_onward: whether it made onward calls, whose failures
-            say nothing about this backend server.
+        :param onward_ms: time of onward calls.
         """
         del self._calls[call]
         if result is Result.OK:
-            self._answered(call, own_time_ms)
+            self._answered(call, own_time_ms, onward_ms)
         elif result is Result.SHED:
             self._shed(call)
-        elif result in TROUBLE and not went_onward:
+        elif result in TROUBLE and not call.onward:
             self._failed(call)
 
     def announce(self, cold, slots=0):
@@ -199,6 +204,7 @@
         self.phase = Phase.WARM
         self._limit = float(limit)
         self._fast = fast
+        self._overshot = False
         self._knee = float(limit)
         self._shrunk_from = None
         self._ceiling = MAX_LIMIT
@@ -216,15 +222,16 @@
     def _restart(self):
         self._acted_ms = self._now_ms()
         self._proven = 0
+        self._smooth = 1.0
         self._window.reset()
         self._rise.reset()
         self._fall.reset()
 
     # Answers.
 
-    def _answered(self, call, time_ms):
+    def _answered(self, call, time_ms, onward_ms):
         name = call.profile
-        ratio = self._baselines.ratio(name, time_ms)
+        ratio = self._baselines.ratio(name, time_ms, onward_ms)
         if not self._baselines.known(name):
             self._baselines.learn(name, time_ms)
         if self.phase is Phase.HELD:
@@ -232,7 +239,8 @@
             return
         if call.started_ms < self._acted_ms:
             return
-        if ratio <= PROVEN_RATIO:
+        self._smooth += SMOOTH_SHARE * (ratio - self._smooth)
+        if self._smooth <= PROVEN_RATIO:
             self._proven = max(self._proven, call.running)
         if self.phase is Phase.COLD:
             self._answered_cold(call, ratio, time_ms)
@@ -248,14 +256,26 @@
 
     def _answered_warm(self, call, ratio, time_ms):
         if self._fall.add(ratio):
-            self._start_held(call)
+            self._fell(call, ratio)
             return
-        if call.running <= LOW_LOAD_SHARE * self._knee:
+        low = call.running <= LOW_LOAD_SHARE * self._knee
+        if low and self._shrunk_from is None:
             self._baselines.learn(call.profile, time_ms)
         self._window.add(ratio, call.running)
         if self._window.count >= max(MIN_WINDOW, self._window_size()):
             self._adjust()
 
+    def _fell(self, call, ratio):
+        """Tell a limit that was never tried before from a change."""
+        if call.running <= PROVEN_GROWTH * self._proven or self._overshot:
+            self._start_held(call)
+            return
+        self._overshot = True
+        self._fast = False
+        self._shrunk_from = (call.running, ratio)
+        self._limit = max(self._proven, call.running / ratio, 1.0)
+        self._restart()
+
     def _answered_held(self, call, ratio):
         if call.probe:
             self._probed(ratio)
@@ -307,7 +327,7 @@
         if call.started_ms < self._acted_ms:
             return
         if self.phase is Phase.WARM:
-            self._start_held(call)
+            self._fell(call, ratio)
         elif self.phase is Phase.COLD:
             self._back_off_cold(call, ratio)
 
@@ -343,7 +363,9 @@
     def _target(self, age_ms):
         if self._pace_per_ms is None:
             grown_ms = self._now_ms() - self._grown_since_ms
-            doublings = (grown_ms - FIRST_STEP_MS) / DOUBLING_MS
+            rounds_ms = DOUBLING_ROUNDS * self._baselines.mean_ms()
+            doubling_ms = max(DOUBLING_MS, rounds_ms)
+            doublings = (grown_ms - FIRST_STEP_MS) / doubling_ms
             return 2.0 ** min(MAX_DOUBLINGS, max(0.0, doublings))
         return max(self._level, self._pace_per_ms * age_ms)
 
@@ -352,17 +374,25 @@
             self._baselines.scale(ratio)
             self._restart()
             return
+        sign = _Sign(self._age_ms(call), call.running, ratio)
+        previous = self._signs[-1] if self._signs else None
+        if previous and _is_slower(previous.load(), sign.load()):
+            self._baselines.scale(ratio)
+            self._start_warm(previous.running, fast=False)
+            return
+        self._signs.append(sign)
         borne = min(call.running - 1, call.running / sqrt(ratio))
         borne = max(COLD_LIMIT, borne)
-        age_ms = max(1.0, call.started_ms - self._cold_since_ms)
-        self._signs.append((age_ms, call.running))
         if _is_steady(self._signs[-3:]):
             self._start_warm(borne, fast=False)
             return
-        self._pace_per_ms = PACE_SHARE * borne / age_ms
+        self._pace_per_ms = PACE_SHARE * borne / sign.age_ms
         self._level = max(COLD_LIMIT, int(PACE_SHARE * borne))
         self._restart()
 
+    def _age_ms(self, call):
+        return max(1.0, call.started_ms - self._cold_since_ms)
+
     # Warm.
 
     def _window_size(self):
@@ -377,26 +407,25 @@
             self._shrink(ratio)
             return
         self._shrunk_from = None
+        self._overshot = False
         if ratio < GROW_BELOW and in_use:
             self._grow()
 
     def _shrink(self, ratio):
         if self._shrunk_from is None:
             self._shrunk_from = (self._limit, ratio)
-        limit, first_ratio = self._shrunk_from
-        if self._limit <= max(COLD_LIMIT, SHRUNK_ENOUGH * limit):
-            if ratio > first_ratio * sqrt(self._limit / limit):
-                self._baselines.scale(ratio)
-                self._start_warm(limit, fast=False)
-                return
-            self._shrunk_from = (self._limit, ratio)
+        elif _is_slower(self._shrunk_from, (self._limit, ratio)):
+            limit, _ = self._shrunk_from
+            self._baselines.scale(ratio)
+            self._start_warm(limit, fast=False)
+            return
         self._fast = False
         factor = max(SHRINK_MOST, GROW_BELOW / ratio)
         self._limit = max(float(COLD_LIMIT), self._limit * factor)
         self._acted_ms = self._now_ms()
 
     def _grow(self):
-        if self._fast:
+        if self._fast or self._limit < LOW_LOAD_SHARE * self._knee:
             limit = self._limit * FAST_GROWTH + 1
         else:
             limit = self._limit + max(1.0, SLOW_GROWTH * self._limit)
@@ -415,14 +444,39 @@
         self._window.reset()
 
 
+@dataclass(slots=True, frozen=True)
+class _Sign:
+    """A sign of overload in a cold start."""
+
+    age_ms: float
+    running: int
+    ratio: float
+
+    def load(self):
+        """Return the pair of calls in progress and ratio."""
+        return self.running, self.ratio
+
+
 def _is_steady(signs):
     """Return whether signs came at one level while time went on."""
     if len(signs) < 3:
         return False
-    age_ms, level = signs[0]
-    later_ms, later_level = signs[-1]
+    first, last = signs[0], signs[-1]
     return (
-        level >= LEAST_STEADY_LEVEL
-        and later_ms >= LATER_RATIO * age_ms
-        and later_level <= SAME_LEVEL_RATIO * level
+        first.running >= LEAST_STEADY_LEVEL
+        and last.age_ms >= LATER_RATIO * first.age_ms
+        and last.running <= SAME_LEVEL_RATIO * first.running
     )
+
+
+def _is_slower(before, now):
+    """
+    Return whether times stayed long although the load fell by far.
+
+    :param before: pair of load and ratio, like ``now``.
+    """
+    load, ratio = before
+    load_now, ratio_now = now
+    if load_now > max(COLD_LIMIT, SHRUNK_ENOUGH * load):
+        return False
+    return ratio_now > ratio * sqrt(load_now / load)
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -96,7 +96,8 @@
     limit = model.limiter.limit
     for _ in range(100):
         call = model.limiter.begin('p')
-        model.limiter.end(call, Result.FAILED, 20.0, went_onward=True)
+        call.onward = True
+        model.limiter.end(call, Result.FAILED, 20.0, 10.0)
     assert model.limiter.limit == limit
     for _ in range(5):
         call = model.limiter.begin('p')
