Fetch the answers of repeatable calls over a new link too

The sender now asks the same process over a new connection first, for every call whose body is small; a served call goes on for 2 s after its connection broke.

The time that a call lost on a silent connection to its backend server is not reported as service time, and a streamed answer marks its head.

--- a/damasklanding/exchange.py
+++ b/damasklanding/exchange.py
@@ -90,7 +90,8 @@
     :ivar credit: bytes of a streamed body that may be sent now.
     :ivar started: whether the handler has passed the point after which the
         opener can no longer withdraw the request.
-    :ivar survives: whether the handler goes on when the connection breaks.
+    :ivar on_break: called instead of ending the handler when the connection
+        breaks.
     """
 
     __slots__ = (
@@ -104,7 +105,7 @@
         'credit',
         'entered',
         'started',
-        'survives',
+        'on_break',
         'withdrawn',
     )
 
@@ -116,7 +117,7 @@
         self.credit = INITIAL_CREDIT_BYTES
         self.entered = False
         self.started = False
-        self.survives = False
+        self.on_break = None
         self.withdrawn = False
         self._held_bytes = 0
         self._inbox = deque()
--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -270,8 +270,10 @@
         self._exchanges.clear()
         for exchange in exchanges:
             exchange.deliver(None)
-            if not exchange.survives:
+            if exchange.on_break is None:
                 self._kill_handler(exchange)
+            else:
+                exchange.on_break()
         current = gevent.getcurrent()
         for greenlet in self._greenlets:
             if greenlet is not current:
--- a/damasklanding/node/calls.py
+++ b/damasklanding/node/calls.py
@@ -67,6 +67,7 @@
     :ivar body: :class:`~damasklanding.node.bodies.Body`.
     :ivar handed: whether the present attempt may have given the request to
         a backend server.
+    :ivar resent_ms: time at which it was sent again on a fresh connection.
     :ivar maybe_ran: whether an earlier attempt may have.
     :ivar claimed: whether an idempotency key ties resends to it.
     :ivar exchange: open exchange with the node that serves it.
@@ -89,6 +90,7 @@
     idempotent: bool
     attempt: int = 0
     handed: bool = False
+    resent_ms: float | None = None
     maybe_ran: bool = False
     claimed: bool = False
     guard: object = None
--- a/damasklanding/node/local.py
+++ b/damasklanding/node/local.py
@@ -127,11 +127,18 @@
         result = _result_of_answer(answer, running)
         answer.may_retry = answer.may_retry and running.may_retry
         if answer.parts is None:
-            slot.finish(result)
+            slot.finish(result, self._service_time_ms(call))
         else:
+            slot.answered()
             answer.parts = _finish_after(answer.parts, slot, result)
         return answer
 
+    def _service_time_ms(self, call):
+        """Return the time since a resend, None without one."""
+        if call.resent_ms is None:
+            return None
+        return self._now_ms() - call.resent_ms
+
     def _count(self, call, reason):
         self._metrics.add('calls_total', call.service, call.importance, reason)
 
--- a/damasklanding/node/peers.py
+++ b/damasklanding/node/peers.py
@@ -158,13 +158,15 @@
 
     def _resume(self, address, call, broken, serial, error):
         """Ask over a new connection what became of a call."""
-        if call.idempotent or call.body.data is None or not call.handed:
+        if call.body.data is None or not call.handed:
             raise _judged(error, call) from error
         until_ms = min(call.deadline_at_ms, self._now_ms() + RESUME_LIMIT_MS)
         while self._now_ms() < until_ms:
             message = self._ask(address, call, broken, serial)
             if message is not None:
                 return _answer_of(message)
+            if call.idempotent:
+                break  # another attempt elsewhere is quicker
             gevent.sleep(RESUME_PAUSE_MS / 1000)
         raise _judged(error, call) from error
 
--- a/damasklanding/node/peerserver.py
+++ b/damasklanding/node/peerserver.py
@@ -28,6 +28,8 @@
 
 __all__ = ['PeerServer']
 
+ORPHAN_MS = 2_000  # a sender that has not asked again by then is gone
+
 
 class PeerServer:
     """
@@ -51,7 +53,7 @@
     def serve(self, exchange, message):
         """Serve one call; sends the answer or returns the problem."""
         call = self._call(exchange, message)
-        if message.idempotent or message.body_follows:
+        if message.body_follows:
             return self._serve(exchange, call, _keep_nothing)
         key = (exchange.link.peer.instance, message.serial)
         greenlet = gevent.getcurrent()
@@ -59,7 +61,7 @@
             served = self._served.begin(key, call.deadline_at_ms, greenlet)
         except DamasklandingError as error:
             return self._problem(error, call)
-        call.guard = _surviving(exchange)
+        call.guard = self._surviving(exchange, served, message.idempotent)
         try:
             return self._serve(exchange, call, _keeping(served))
         except ExchangeCancelled:
@@ -69,18 +71,20 @@
         finally:
             reply = served.reply
             served.reply = None
-            self._served.end(served, reply, _size_of(reply))
+            self._served.end(
+                served, reply, _size_of(reply), message.idempotent
+            )
 
     def resume(self, exchange, message):
         """Return what became of a call that came over another link."""
         deadline_at_ms = self._now_ms() + message.deadline_ms
         key = (exchange.link.peer.instance, message.serial)
         served = self._served.resume(key, deadline_at_ms)
+        served.resumed = True
         try:
-            ended = served.done.wait(message.deadline_ms / 1000)
+            ended = served.wait(message.deadline_ms)
         except ExchangeCancelled:
-            if served.greenlet is not None:
-                served.greenlet.kill(ExchangeCancelled, block=False)
+            served.kill(ExchangeCancelled)
             raise
         if not ended:
             raise UpstreamTimeout('the request still runs')
@@ -88,6 +92,24 @@
             raise UpstreamFailed('the answer to the request was not kept')
         return served.reply
 
+    def _surviving(self, exchange, served, repeatable):
+        """Return a guard after which a broken link does not end a call."""
+
+        def abandon():
+            if not served.resumed:
+                served.kill(ExchangeCancelled)
+
+        def on_break():
+            # A call that must not repeat runs on: cut, it would be unknown.
+            if repeatable:
+                gevent.spawn_later(ORPHAN_MS / 1000, abandon)
+
+        def guard():
+            exchange.start()
+            exchange.on_break = on_break
+
+        return guard
+
     def _serve(self, exchange, call, keep):
         try:
             answer = self._local.serve(call)
@@ -178,16 +200,6 @@
     return keep
 
 
-def _surviving(exchange):
-    """Return a guard after which a broken link no longer ends the call."""
-
-    def guard():
-        exchange.start()
-        exchange.survives = True
-
-    return guard
-
-
 def _left_queue():
     error = Unavailable('the connection broke before the request was run')
     error.outcome = NOT_RUN
--- a/damasklanding/node/served.py
+++ b/damasklanding/node/served.py
@@ -2,8 +2,8 @@
 damasklanding.node.served
 ~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Calls that must not repeat and that other nodes have sent here, for as long
-as their senders may ask again over a new connection.
+Calls that other nodes have sent here, for as long as their senders may ask
+again over a new connection.
 """
 
 from collections import OrderedDict
@@ -16,8 +16,9 @@
 __all__ = ['ServedCall', 'ServedCalls']
 
 GRACE_MS = 5_000  # after the deadline, while a late frame may still come
+KEPT_MS = 3_000  # after its end, of a call that may repeat
 MAX_CALLS = 4_096
-MAX_KEPT_BYTES = 4 * 1024 * 1024
+MAX_KEPT_BYTES = 2 * 1024 * 1024
 
 
 class ServedCall:
@@ -26,20 +27,48 @@
 
     :ivar reply: the message that answered it, None while it runs or where
         it was not kept.
-    :ivar done: event set once it has ended.
-    :ivar greenlet: runs it.
+    :ivar greenlet: runs it, None once it has ended.
+    :ivar resumed: whether its sender has asked again.
     """
 
-    __slots__ = ('done', 'expires_ms', 'fenced', 'greenlet', 'reply', 'size')
+    __slots__ = (
+        '_done',
+        'expires_ms',
+        'fenced',
+        'greenlet',
+        'reply',
+        'resumed',
+        'size',
+    )
 
     def __init__(self, expires_ms, greenlet):
-        self.done = Event()
+        self._done = None
         self.expires_ms = expires_ms
         self.fenced = False
         self.greenlet = greenlet
         self.reply = None
+        self.resumed = False
         self.size = 0
 
+    def wait(self, timeout_ms):
+        """Wait for its end; return whether it has come."""
+        if self.greenlet is None:
+            return True
+        if self._done is None:
+            self._done = Event()
+        return self._done.wait(timeout_ms / 1000)
+
+    def end(self):
+        """Note that it has ended."""
+        self.greenlet = None
+        if self._done is not None:
+            self._done.set()
+
+    def kill(self, exception):
+        """End it where it still runs."""
+        if self.greenlet is not None:
+            self.greenlet.kill(exception, block=False)
+
 
 class ServedCalls:
     """
@@ -71,19 +100,22 @@
         self._calls[key] = call
         return call
 
-    def end(self, call, reply, size):
+    def end(self, call, reply, size, repeatable=False):
         """
         Note the end of a call.
 
         :param reply: message that answers it, None where it can't be kept.
         :param size: bytes that the message holds.
+        :param repeatable: whether the call may run more than once, so that
+            its fence need not outlast the deadline.
         """
+        if repeatable:
+            call.expires_ms = self._now_ms() + KEPT_MS
         if reply is not None and self._kept_bytes + size <= MAX_KEPT_BYTES:
             call.reply = reply
             call.size = size
             self._kept_bytes += size
-        call.greenlet = None
-        call.done.set()
+        call.end()
 
     def resume(self, key, deadline_at_ms):
         """
--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -158,6 +158,7 @@
 
     def _repeat(self, call, head):
         """Send a call again that may have run already."""
+        call.resent_ms = self._now_ms()
         try:
             connection = self._connect()
             try:
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -127,9 +127,15 @@
     """A slot that records its result."""
 
     def __init__(self, results):
-        self.finish = results.append
+        self._results = results
         self.waited_ms = 0
 
+    def finish(self, result, service_time_ms=None):
+        self._results.append(result)
+
+    def answered(self):
+        return None
+
     @contextmanager
     def onward(self):
         yield
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -245,7 +245,7 @@
         peer = Identity('peer', 'node', 'p1')
         link = open_link(server.links.address, peer, SECRET)
         link.request(a_request(sent_ms=int(link.age_ms())), 2_000)
-        request = a_request(sent_ms=int(link.age_ms()) - 3_000)
+        request = a_request(sent_ms=int(link.age_ms()) - 3_000, serial=2)
         with pytest.raises(DamasklandingError) as raised:
             link.request(request, 2_000)
         assert raised.value.code == 'deadline-exceeded'
