--- a/damasklanding/adminclient.py
+++ b/damasklanding/adminclient.py
@@ -32,7 +32,9 @@
 ]
 
 CONNECT_TIMEOUT_MS = 1_000
+EACH_TIMEOUT_MS = 3_000
 READ_TIMEOUT_MS = 10_000
+FIRST_ROUND_TIMEOUT_MS = 1_500
 ROUNDS = 3
 ROUND_PAUSE_MS = 300
 _TRY_ANOTHER = {'unavailable', 'not-leader', 'stale-state', 'link-closed'}
@@ -93,9 +95,7 @@
     def __init__(self, addresses, token, timeout_ms=READ_TIMEOUT_MS):
         self.addresses = list(addresses)
         self._token = token
-        self._timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_MS / 1000, read=timeout_ms / 1000
-        )
+        self._timeout_ms = timeout_ms
         self._pools = {}
 
     def call(
@@ -137,7 +137,15 @@
         replies = []
         for address in self.addresses:
             try:
-                body = self._send(address, 'GET', path, None, headers, decode)
+                body = self._send(
+                    address,
+                    'GET',
+                    path,
+                    None,
+                    headers,
+                    decode,
+                    min(self._timeout_ms, EACH_TIMEOUT_MS),
+                )
                 replies.append(HostReply(address, body))
             except DamasklandingError as error:
                 replies.append(HostReply(address, error=error))
@@ -146,12 +154,21 @@
     def _first(self, method, path, body, headers, decode):
         failures = {}
         for attempt in range(ROUNDS):
+            timeout_ms = self._timeout_ms
             if attempt:
                 time.sleep(ROUND_PAUSE_MS / 1000)
+            elif len(self.addresses) > 1:
+                timeout_ms = min(timeout_ms, FIRST_ROUND_TIMEOUT_MS)
             for address in list(self.addresses):
                 try:
                     answer = self._send(
-                        address, method, path, body, headers, decode
+                        address,
+                        method,
+                        path,
+                        body,
+                        headers,
+                        decode,
+                        timeout_ms,
                     )
                 except Unavailable as error:
                     if error.code not in _TRY_ANOTHER:
@@ -178,7 +195,7 @@
             headers['If-Match'] = f'"{expected_revision}"'
         return headers
 
-    def _send(self, address, method, path, body, headers, decode):
+    def _send(self, address, method, path, body, headers, decode, timeout_ms):
         data = None if body is None else msgspec.json.encode(body)
         try:
             answer = self._pool(address).urlopen(
@@ -188,6 +205,9 @@
                 headers=headers,
                 retries=False,
                 redirect=False,
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_TIMEOUT_MS / 1000, read=timeout_ms / 1000
+                ),
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise Unavailable(
@@ -203,7 +223,7 @@
         if pool is None:
             host, port = split_address(address)
             pool = self._pools[address] = urllib3.HTTPConnectionPool(
-                host, port, timeout=self._timeout, maxsize=1, retries=False
+                host, port, maxsize=1, retries=False
             )
         return pool
 
