--- a/bench/keys.py
+++ b/bench/keys.py
@@ -5,8 +5,8 @@
 A key is withdrawn while its organisation calls without pause over open
 connections and has requests in queues.  The last request that a backend
 server begins for the organisation, counted from the operator's send of
-the withdrawal, is measured; in two of three seeds the leading control host fails
-at that moment, by a kill or by silence, and the tool asks it first.
+the withdrawal, is measured; in two of three seeds the leading control host
+fails at that moment, by a kill or by silence, and the tool asks it first.
 The other organisation's answers count once the backend servers are warm.
 """
 
