--- a/damasklanding/budget/bucket.py
+++ b/damasklanding/budget/bucket.py
@@ -23,7 +23,7 @@
 DEFAULT_TTL_MS = 200
 MIN_TTL_MS = 40
 MAX_RESERVE_MS = 500
-SCARCE_PART = 0.25
+SCARCE_PART = 0.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/damasklanding/budget/holding.py
+++ b/damasklanding/budget/holding.py
@@ -143,6 +143,14 @@
         """Return the waiting requests that no promised token will serve."""
         return list(self.waiters)[self.promised :]
 
+    def take_out_late(self, again_ms):
+        """Take out uncovered requests whose deadline comes before a time."""
+        covered = list(self.waiters)[: self.promised]
+        uncovered = self.uncovered()
+        stay = [w for w in uncovered if w.deadline_ms > again_ms]
+        self.waiters = deque(covered + stay)
+        return [w for w in uncovered if w.deadline_ms <= again_ms]
+
     def measure(self, now_ms):
         """Update the demand once a window has passed."""
         elapsed_ms = now_ms - self._counted_ms
--- a/damasklanding/budget/holdings.py
+++ b/damasklanding/budget/holdings.py
@@ -25,7 +25,7 @@
 __all__ = ['Holdings']
 
 ASK_TIMEOUT_MS = 250
-MIN_WAIT_MS = 250  # one time to live of tokens and a round trip
+MIN_WAIT_MS = 300  # one time to live of tokens and some round trips
 RETRY_MS = 50  # between attempts to reach the owner
 DRY_PAUSE_MS = 20  # between requests that brought too little
 SWEEP_MS = 25
@@ -233,10 +233,8 @@
             delay_ms += grant.spacing_ms
 
     def _refuse_late(self, holding, again_ms, error):
-        late = [w for w in holding.uncovered() if w.deadline_ms <= again_ms]
         retry_ms = again_ms - self._now_ms()
-        for waiter in late:
-            holding.waiters.remove(waiter)
+        for waiter in holding.take_out_late(again_ms):
             waiter.refuse(error or _over_rate(holding.name, retry_ms))
 
     def _give_back(self, holding, grant):
--- a/damasklanding/budget/owner.py
+++ b/damasklanding/budget/owner.py
@@ -19,7 +19,6 @@
 from damasklanding.budget.bucket import plan_bucket
 from damasklanding.errors import BadInput
 from damasklanding.errors import DamasklandingError
-from damasklanding.errors import NotFound
 from damasklanding.errors import StaleState
 from damasklanding.errors import Unavailable
 from damasklanding.node.view import budget_shard_of
@@ -206,7 +205,11 @@
     def _entry(self, tenure, name, now_ms):
         organisation = self._view.state.get('organisation', name)
         if organisation is None:
-            raise NotFound(f'no organisation {name}')
+            # The asker may have learned of it first.
+            raise Unavailable(
+                f'{self._name} does not know the organisation {name}',
+                retry_after_ms=100,
+            )
         rate = organisation.rate_per_s
         burst = organisation.burst_requests
         entry = tenure.entries.get(name)
--- a/tests/test_bucket.py
+++ b/tests/test_bucket.py
@@ -123,3 +123,11 @@
     bucket = Bucket(plan_bucket(100, 100), 0.0, 80)
     bucket.change(plan_bucket(200, 100), 0.0)
     assert bucket.level(0.0) == pytest.approx(60)
+
+
+def test_tokens_are_scarce_below_half_of_the_capacity():
+    bucket = Bucket(plan_bucket(100, 100), 0.0, 80)
+    bucket.issue(40, 40, 0.0)
+    assert not bucket.scarce(0.0)
+    bucket.issue(1, 1, 0.0)
+    assert bucket.scarce(0.0)
