--- a/bench/relay.py
+++ b/bench/relay.py
@@ -24,12 +24,15 @@
 
     A silent connection stays open and loses every byte, while new ones
     work: what a middlebox does that has lost track of it.
+
+    :ivar passed_bytes: passed on so far, in both directions.
     """
 
     listen: str
     target: str
     pairs: list = field(default_factory=list)
     server: object = None
+    passed_bytes: int = 0
 
     def start(self):
         """Start to relay."""
@@ -61,22 +64,22 @@
         for side in (sock, other):
             side.setsockopt(gsocket.IPPROTO_TCP, gsocket.TCP_NODELAY, 1)
         jobs = [
-            gevent.spawn(_pump, sock, other, state),
-            gevent.spawn(_pump, other, sock, state),
+            gevent.spawn(self._pump, sock, other, state),
+            gevent.spawn(self._pump, other, sock, state),
         ]
         gevent.joinall(jobs)
 
-
-def _pump(source, target, state):
-    try:
-        while True:
-            data = source.recv(BLOCK_BYTES)
-            if not data:
-                break
-            if not state['silent']:
-                target.sendall(data)
-    except OSError:
-        pass
-    if not state['silent']:
-        for sock in (source, target):
-            sock.close()
+    def _pump(self, source, target, state):
+        try:
+            while True:
+                data = source.recv(BLOCK_BYTES)
+                if not data:
+                    break
+                if not state['silent']:
+                    self.passed_bytes += len(data)
+                    target.sendall(data)
+        except OSError:
+            pass
+        if not state['silent']:
+            for sock in (source, target):
+                sock.close()
