--- a/bench/combined.py
+++ b/bench/combined.py
@@ -71,7 +71,10 @@
         rate = RATE_PER_S * RATE_MARGIN
         addresses = start_deployment(fleet, deployment, rate, BURST_REQUESTS)
         stage = Stage(
-            fleet, random.Random(seed), deployment, DEEP_SERVICES[name]
+            fleet,
+            random.Random(f'{name}-{seed}'),
+            deployment,
+            DEEP_SERVICES[name],
         )
         pairs = draw_faults(stage.random)
         events = [
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -172,10 +172,9 @@
 
 
 def draw_faults(random):
-    """Draw two pairs of faults, no two of a pair on the control hosts."""
-    pairs = []
-    while len(pairs) < 2:
-        pair = random.sample(FAULTS, 2)
-        if set(pair) != _CONTROL_FAULTS:
-            pairs.append(pair)
-    return pairs
+    """Draw two pairs of different faults, none with both control faults."""
+    while True:
+        drawn = random.sample(FAULTS, 4)
+        pairs = [drawn[:2], drawn[2:]]
+        if all(set(pair) != _CONTROL_FAULTS for pair in pairs):
+            return pairs
--- a/damasklanding/control/watch.py
+++ b/damasklanding/control/watch.py
@@ -68,11 +68,29 @@
     silent_ms: int
 
 
-@dataclass(frozen=True)
 class _Delta:
-    term: int
-    revision: int
-    changes: list
+    """
+    The changes of one revision, encoded once for all who get the same.
+
+    :ivar everyone: whether no change is subject to a watcher's interest.
+    """
+
+    __slots__ = ('_encoded', 'changes', 'everyone', 'revision', 'term')
+
+    def __init__(self, term, revision, changes):
+        self.term = term
+        self.revision = revision
+        self.changes = changes
+        self.everyone = all(change.kind != 'backend' for change in changes)
+        self._encoded = None
+
+    def encoded_for(self, watcher):
+        """Return the encoded changes that a watcher gets."""
+        if not (self.everyone or watcher.all_services):
+            return encode_changes(_narrow(self.changes, watcher))
+        if self._encoded is None:
+            self._encoded = encode_changes(self.changes)
+        return self._encoded
 
 
 class _Wake:
@@ -177,9 +195,7 @@
             watcher.revision = delta.revision
             watcher.exchange.send(
                 WatchDelta(
-                    delta.term,
-                    delta.revision,
-                    encode_changes(_narrow(delta.changes, watcher)),
+                    delta.term, delta.revision, delta.encoded_for(watcher)
                 )
             )
 
@@ -216,7 +232,7 @@
 def _narrow(changes, watcher):
     narrowed = []
     for change in changes:
-        if change.kind == 'backend' and not watcher.all_services:
+        if change.kind == 'backend':
             resource = change.resource()
             if resource is not None and not watcher.wants('backend', resource):
                 # It may have left a service that the watcher does want.
