--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -74,8 +74,9 @@
         self._network = network
         self._addresses = 0
 
-    def add_control(self, count=3, data_centre='dc-a'):
+    def add_control(self, count=3, *data_centres):
         """Start control hosts that found a fleet, and wait for them."""
+        data_centres = data_centres or ('dc-a',)
         ips = [self.next_ip() for _ in range(count)]
         self.control_hosts = ','.join(
             f'control-{index}={ip}:{PEER_PORT}' for index, ip in enumerate(ips)
@@ -92,7 +93,8 @@
                 'operator-tokens-file': tokens,
                 'bootstrap': 'true',
             }
-            process = self._daemon(name, 'control', ip, data_centre, options)
+            centre = data_centres[index % len(data_centres)]
+            process = self._daemon(name, 'control', ip, centre, options)
             self.control.append(process)
             process.start()
         addresses = [host.address(PEER_PORT) for host in self.control]
--- a/damasklanding/burn.py
+++ b/damasklanding/burn.py
@@ -103,13 +103,12 @@
         if not service or reason in CALLER_REASONS:
             return
         good = reason == GOOD
-        for _ in range(amount):
-            self.record(service, profile, organisation, good, reason)
+        self.record(service, profile, organisation, good, reason, amount)
 
-    def record(self, service, profile, organisation, good, reason=''):
-        """Count one request by how it ended."""
+    def record(self, service, profile, organisation, good, reason='', count=1):
+        """Count requests by how they ended."""
         key = (service, profile, organisation, '' if good else reason)
-        self._counts[key] = self._counts.get(key, 0) + 1
+        self._counts[key] = self._counts.get(key, 0) + count
 
     def take_delta(self):
         """
