--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,6 +22,7 @@
     'demo',
     'path',
     'config',
+    'control',
     'keys',
     'rates',
     'overload',
--- a/damasklanding/control/admission.py
+++ b/damasklanding/control/admission.py
@@ -46,6 +46,8 @@
 
 def mark_settled(leadership):
     """Let the log tell that the latest change of members stands."""
+    if leadership.hands_over:
+        return
     membership = leadership.replica.membership
     if membership.is_settled() and not membership.is_marked():
         leadership.append('settled', str(membership.changed_at).encode())
@@ -76,6 +78,7 @@
 def _may_change(leadership):
     replica = leadership.replica
     return (
-        replica.commit_index >= leadership.first_index
+        not leadership.hands_over
+        and replica.commit_index >= leadership.first_index
         and replica.membership.is_finished(replica.commit_index)
     )
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -175,12 +175,12 @@
         deadline_ms = self.now_ms() + timeout_ms
         while True:
             left_ms = deadline_ms - self.now_ms()
-            if self.leadership is not None:
+            if self._may_append():
                 return self._propose_here(kind, payload, left_ms)
-            if self.leader and self._running:
+            if self.leader not in ('', self.name):
                 message = Propose(self.group, payload, True, kind)
                 return self.send(self.leader, message, left_ms).outcome
-            if left_ms <= 0:
+            if left_ms <= 0 or not self._running:
                 raise NotLeader(f'group {self.group} has no leader now')
             gevent.sleep(LEADER_POLL_MS / 1000)
 
@@ -351,6 +351,10 @@
         elif entry.kind == 'settled':
             self.membership.mark(entry.index, int(entry.payload))
 
+    def _may_append(self):
+        leadership = self.leadership
+        return leadership is not None and not leadership.hands_over
+
     def _propose_here(self, kind, payload, timeout_ms):
         if kind == 'members':
             members = members_after(self.leadership, decode_change(payload))
@@ -373,7 +377,7 @@
 
     def _handle_propose(self, _exchange, request):
         self._require_running()
-        if request.forwarded and self.leadership is None:
+        if request.forwarded and not self._may_append():
             raise NotLeader(f'{self.name} does not lead {self.group}')
         if request.kind not in PROPOSED_KINDS:
             raise BadInput(f'a proposal of kind {request.kind!r}')
@@ -393,6 +397,7 @@
         self.step_down('this host is no voter any more')
 
     def _hand_over(self):
+        self.leadership.hands_over = True
         with gevent.Timeout(HAND_OVER_LIMIT_MS / 1000, False):
             while self.leadership is not None:
                 peer = self.leadership.most_caught_up()
--- a/damasklanding/control/replication.py
+++ b/damasklanding/control/replication.py
@@ -53,6 +53,8 @@
 
     :ivar first_index: index of the first entry of the term; the state is
         known to be complete only once it is applied.
+    :ivar hands_over: set while leadership passes to another replica, which
+        must then have every entry.
     """
 
     def __init__(self, replica):
@@ -61,6 +63,7 @@
         self.term = replica.term
         self.started_ms = replica.now_ms()
         self.first_index = replica.journal.last_index + 1
+        self.hands_over = False
         self.peers = {}
         self._appended = Event()
         self._syncer = None
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -24,6 +24,7 @@
 from damasklanding.settings import Settings
 
 SECRET = b'0123456789abcdef'
+HANDSHAKE_S = 0.02  # for links that were being made, so that all are closed
 FAST = Timing(heartbeat_ms=20, election_min_ms=120, election_max_ms=240)
 
 
@@ -126,7 +127,9 @@
         return self.leader()
 
     def stop(self, name):
+        self._servers[name].stop_accepting()
         self.hosts.pop(name).stop()
+        gevent.sleep(HANDSHAKE_S)
         self._servers.pop(name).stop()
         self._pools.pop(name).close()
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,4 +1,5 @@
 from contextlib import contextmanager
+from dataclasses import replace
 
 import gevent
 import pytest
@@ -175,3 +176,33 @@
         assert leader.propose(bytes(1_048_576))
         fleet.converge()
         fleet.check()
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_hand_over_under_load_needs_no_timeout(tmp_path, seed):
+    with net(tmp_path, seed=seed) as fleet:
+        leader = fleet.leader()
+        fleet.slow_ms = 4
+        patient = replace(
+            fleet.timing, election_min_ms=3_000, election_max_ms=4_000
+        )
+        for replica in fleet.replicas.values():
+            replica.timing = patient
+        gevent.sleep(0.05)
+
+        def keep_proposing():
+            for number in range(10_000):
+                gevent.spawn(fleet.propose, leader.name, b'%d' % number)
+                gevent.sleep(0.001)
+
+        load = gevent.spawn(keep_proposing)
+        gevent.sleep(0.03)
+        leader.stop()
+        fleet.replicas.pop(leader.name)
+        eventually(
+            lambda: any(r.leadership for r in fleet.replicas.values()), 2
+        )
+        load.kill()
+        leader.journal.close()
+        fleet.converge()
+        fleet.check_converged()
