--- a/damasklanding/control/client.py
+++ b/damasklanding/control/client.py
@@ -21,15 +21,18 @@
 class ControlClient:
     """Sends requests to the control hosts in turn until one answers."""
 
-    def __init__(self, pool, control_hosts, now_ms=monotonic_ms):
+    def __init__(self, pool, control_hosts, now_ms=monotonic_ms, view=None):
         """
         Start with the first control host.
 
         :param pool: :class:`~damasklanding.links.LinkPool`.
         :param control_hosts: pairs of name and address.
+        :param view: :class:`~damasklanding.node.view.FleetView` that tells
+            of control hosts which have joined later.
         """
         self._pool = pool
-        self._addresses = [address for _, address in control_hosts]
+        self._known = [address for _, address in control_hosts]
+        self._view = view
         self._next = 0
         self._now_ms = now_ms
 
@@ -55,12 +58,13 @@
         deadline_ms = self._now_ms() + timeout_ms
         may_have_run = False
         while True:
-            for _ in self._addresses:
+            addresses = self._addresses()
+            for _ in addresses:
                 left_ms = deadline_ms - self._now_ms()
                 if left_ms <= 0:
                     raise _unanswered(message, timeout_ms, may_have_run)
                 turn = self._next
-                address = self._addresses[turn]
+                address = addresses[turn % len(addresses)]
                 try:
                     link = self._pool.get(address)
                 except Unavailable:
@@ -76,9 +80,19 @@
                     self._turn_from(turn)
             gevent.sleep(PAUSE_MS / 1000)
 
+    def _addresses(self):
+        if self._view is None:
+            return self._known
+        joined = [
+            host.peer_address
+            for host in self._view.state.all('control_host').values()
+            if host.peer_address not in self._known
+        ]
+        return self._known + joined
+
     def _turn_from(self, turn):
         if self._next == turn:
-            self._next = (turn + 1) % len(self._addresses)
+            self._next = turn + 1
 
     def _drop_silent(self, address, link):
         if link.silent_ms() > ATTEMPT_MS / 2:
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -159,9 +159,10 @@
                 return host
         return None
 
-    def client(self):
+    def client(self, addresses=None, view=None):
         identity = Identity('test', 'tool', 'i')
-        return ControlClient(LinkPool(identity, SECRET), self.addresses)
+        pool = LinkPool(identity, SECRET)
+        return ControlClient(pool, addresses or self.addresses, view=view)
 
     def settled(self):
         """Wait until all hosts have applied the same entries."""
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,5 +1,6 @@
 from control_cluster import cluster
 from control_cluster import envelope
+from control_cluster import eventually
 from control_cluster import propose
 import gevent
 import pytest
@@ -52,3 +53,13 @@
         assert len(set(outcomes)) == 1
         assert outcomes[0].error == ''
         assert len(fleet.leader().history()) == 1
+
+
+def test_client_learns_of_hosts_that_have_joined_later(tmp_path):
+    with cluster(tmp_path) as fleet:
+        leader = fleet.start_all()
+        eventually(lambda: len(leader.view.state.all('control_host')) == 3)
+        gone = (('c9', '127.0.0.1:1'),)
+        client = fleet.client(gone, leader.view)
+        sent = envelope(SetDataCentre(name='dar-a'), 'r1')
+        assert propose(client, sent).error == ''
