Notice a hang-up after a large request body too

Until now only callers with small bodies were watched; a caller that left after an upload held its slot until the deadline. The checks of request heads have a module of their own.

--- a/damasklanding/node/bodies.py
+++ b/damasklanding/node/bodies.py
@@ -34,13 +34,15 @@
     :ivar data: the whole body, None where it is streamed.
     :ivar length: size in bytes, None where it is not known beforehand.
     :ivar started: whether a streamed body has been read from.
+    :ivar on_end: called once a streamed body has been read.
     """
 
-    __slots__ = ('data', 'length', 'started', '_parts')
+    __slots__ = ('data', 'length', 'on_end', 'started', '_parts')
 
     def __init__(self, data=b'', parts=None, length=None):
         self.data = data
         self.length = len(data) if parts is None else length
+        self.on_end = None
         self.started = False
         self._parts = parts
 
@@ -49,9 +51,11 @@
         return self.data is not None or not self.started
 
     def parts(self):
-        """Return the iterator over a streamed body; usable once."""
+        """Yield the parts of a streamed body; usable once."""
         self.started = True
-        return self._parts
+        yield from self._parts
+        if self.on_end is not None:
+            self.on_end()
 
 
 def body_from_request(request, limit_bytes):
--- a/damasklanding/node/egress.py
+++ b/damasklanding/node/egress.py
@@ -183,12 +183,8 @@
     """End this greenlet's call when its parent or its caller ends."""
     greenlet = gevent.getcurrent()
     running.children.add(greenlet)
-    hangup = request.hangup if call.body.data is not None else None
-    if hangup is not None:
-        hangup.start(_always)
     try:
-        yield
+        with request.hangup.watching(call.body, _always):
+            yield
     finally:
-        if hangup is not None:
-            hangup.stop()
         running.children.discard(greenlet)
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -194,19 +194,15 @@
         if calls is None:
             calls = self._open[digest] = set()
         calls.add(open_call)
-        hangup = request.hangup if call.body.data is not None else None
-        if hangup is not None:
-            hangup.start(unwanted)
         try:
             guard()
-            yield
+            with request.hangup.watching(call.body, unwanted):
+                yield
         except Refusal:
             if call.untouched():
                 guard()
             raise
         finally:
-            if hangup is not None:
-                hangup.stop()
             calls.discard(open_call)
             if not calls and self._open.get(digest) is calls:
                 del self._open[digest]
--- a/damasklanding/node/hangup.py
+++ b/damasklanding/node/hangup.py
@@ -5,6 +5,8 @@
 Notices that the caller of a running request has closed its connection.
 """
 
+from contextlib import contextmanager
+from functools import partial
 import socket
 
 import gevent
@@ -33,6 +35,25 @@
         self._greenlet = None
         self._unwanted = None
 
+    @contextmanager
+    def watching(self, body, unwanted):
+        """
+        Cancel the current greenlet when the caller hangs up in the block.
+
+        :param body: the request's body; until a streamed one has been read,
+            a hang-up shows as a cut body instead.
+        :param unwanted: see :meth:`start`.
+        """
+        if body.data is None:
+            body.on_end = partial(self.start, unwanted)
+        else:
+            self.start(unwanted)
+        try:
+            yield
+        finally:
+            body.on_end = None
+            self.stop()
+
     def start(self, unwanted):
         """
         Cancel the current greenlet when the caller hangs up.
--- /dev/null
+++ b/damasklanding/node/heads.py
@@ -0,0 +1,158 @@
+"""
+damasklanding.node.heads
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Heads of HTTP requests, checked so strictly that no other parser behind this
+one can read them otherwise.
+"""
+
+from dataclasses import dataclass
+import re
+from urllib.parse import unquote
+
+from damasklanding.errors import BadInput
+from damasklanding.errors import HeadersTooLarge
+from damasklanding.errors import HeaderTimeout
+from damasklanding.errors import NotImplementedHere
+
+__all__ = ['BodyBroken', 'Request', 'parse_head']
+
+MAX_HEADERS = 100
+
+_TOKEN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_REQUEST_LINE = re.compile(
+    rf'({_TOKEN}) (/[\x21-\x7e\x80-\xff]*) HTTP/1\.([01])'
+).fullmatch
+# One character class a value, so that no input makes the match slow.
+_HEADERS = re.compile(
+    rf'(?:{_TOKEN}:[\t\x20-\x7e\x80-\xff]*(?:\r\n|\Z))*'
+).fullmatch
+_DIGITS = re.compile(r'[0-9]{1,18}').fullmatch
+_UNSAFE_PATH = re.compile(r'//|/\.\.?(?:/|$)|\\|\x00').search
+_ONCE = frozenset(
+    (
+        'content-length',
+        'host',
+        'idempotency-key',
+        'transfer-encoding',
+        'damasklanding-key',
+        'damasklanding-context',
+        'damasklanding-deadline-ms',
+    )
+)
+
+
+class BodyBroken(BadInput):
+    """A request body that ended early or whose chunks are malformed."""
+
+    code = 'body-broken'
+    remedy = 'send the whole body with a matching length'
+
+
+@dataclass(slots=True)
+class Request:
+    """
+    A request head that passed all checks.
+
+    :ivar target: path and query as sent.
+    :ivar path: decoded path without the query.
+    :ivar headers: names in lower case and values, alternating.
+    :ivar named: values by name, the last one where a name repeats.
+    :ivar length: announced length of the body, None where chunked.
+    :ivar body: file-like reader of the body.
+    :ivar hangup: :class:`~damasklanding.node.hangup.Hangup` of the caller's
+        connection.
+    """
+
+    method: str
+    target: str
+    path: str
+    minor_version: int
+    headers: list
+    named: dict
+    length: int | None = 0
+    body: object = None
+    hangup: object = None
+
+    def header(self, name):
+        """Return a header's value, None where absent."""
+        return self.named.get(name)
+
+    def read(self, size):
+        """
+        Return up to ``size`` bytes of the body, empty at its end.
+
+        :raises BodyBroken: the body was cut or is malformed.
+        :raises HeaderTimeout: the caller paused for too long.
+        """
+        try:
+            return self.body.read(size)
+        except TimeoutError as error:
+            raise HeaderTimeout('the body stopped coming') from error
+        except OSError as error:
+            raise BodyBroken('the body is cut or malformed') from error
+
+
+def parse_head(head):
+    """
+    Parse a request line and headers.
+
+    :param head: bytes up to, not including, the empty line.
+    :return: :class:`Request` without a body.
+    :raises BadInput: for anything that another parser could read otherwise.
+    """
+    line, _, rest = head.decode('latin-1').partition('\r\n')
+    found = _REQUEST_LINE(line)
+    if found is None:
+        raise BadInput('the request line is malformed', 'send HTTP/1.1')
+    method, target, minor = found.groups()
+    path = target.partition('?')[0]
+    if '%' in path:
+        path = unquote(path, 'latin-1')
+    if _UNSAFE_PATH(path):
+        raise BadInput(
+            'the path has empty or relative segments',
+            'send the path in its normal form',
+        )
+    headers, named = _parse_headers(rest)
+    request = Request(method, target, path, int(minor), headers, named)
+    _check_framing(request)
+    return request
+
+
+def _parse_headers(text):
+    if not _HEADERS(text):
+        raise BadInput('a header line is malformed')
+    lines = text.split('\r\n') if text else ()
+    if len(lines) > MAX_HEADERS:
+        raise HeadersTooLarge(f'more than {MAX_HEADERS} headers')
+    headers = []
+    named = {}
+    for line in lines:
+        name, _, value = line.partition(':')
+        name = name.lower()
+        if name in named and name in _ONCE:
+            raise BadInput(f'the header {name} stands twice')
+        value = value.strip(' \t')
+        named[name] = value
+        headers += (name, value)
+    return headers, named
+
+
+def _check_framing(request):
+    encoding = request.named.get('transfer-encoding')
+    length = request.named.get('content-length')
+    if encoding is None:
+        if length is not None:
+            if not _DIGITS(length):
+                raise BadInput('the content length is not a number')
+            request.length = int(length)
+        return
+    if length is not None or not request.minor_version:
+        raise BadInput(
+            'the body has two framings',
+            'send either a length or chunks, and chunks with HTTP/1.1 only',
+        )
+    if encoding.lower() != 'chunked':
+        raise NotImplementedHere(f'transfer encoding {encoding[:20]!r}')
+    request.length = None
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -81,6 +81,30 @@
         assert server.node.status().running == 0
 
 
+@pytest.mark.parametrize('name', ['entry', 'server'])
+def test_hang_up_after_a_large_body_closes_the_backend_connection(name):
+    received, ended = Event(), Event()
+    size = 300_000
+
+    def serve(sock):
+        left = size
+        while left > 0 and (data := sock.recv(65_536)):
+            left -= len(data)
+        received.set()
+        assert sock.recv(65_536) == b''
+        ended.set()
+
+    with fleet() as made:
+        made.add('entry')
+        made.add('server', Raw(serve))
+        made.publish_all()
+        sock = started_call(made.sites[name], '/archive', 'POST', b'x' * size)
+        assert received.wait(2)
+        gevent.sleep(0.05)
+        sock.close()
+        assert ended.wait(2)
+
+
 def test_hang_up_reaches_an_onward_call():
     inner_ended = Event()
 
