Learn usual times only well below the load once borne

Learning below a share of the limit let a limit that had overshot pull the usual time after it: at 10 slots it swung between 20 and 34. The load that was answered in its usual time is now kept, fades as the limit shrinks, and bounds both learning and fast growth.

--- a/damasklanding/policy/limiter.py
+++ b/damasklanding/policy/limiter.py
@@ -46,6 +46,7 @@
 FAST_GROWTH = 1.5
 SLOW_GROWTH = 0.03
 SURE_SCORES = 2.5
+BORNE_DECAY = 0.98  # of the load once borne, with each shrinking
 SHRINK_MOST = 0.8
 SHRUNK_ENOUGH = 0.7  # share of the former limit after which it is judged
 IN_USE_SHARE = 0.8
@@ -200,12 +201,12 @@
         self._level = COLD_LIMIT
         self._restart()
 
-    def _start_warm(self, limit, fast):
+    def _start_warm(self, limit, fast, borne=0.0):
         self.phase = Phase.WARM
         self._limit = float(limit)
         self._fast = fast
         self._overshot = False
-        self._knee = float(limit)
+        self._borne = float(borne or limit)
         self._shrunk_from = None
         self._ceiling = MAX_LIMIT
         self._ceiling_until_ms = float('-inf')
@@ -258,7 +259,7 @@
         if self._fall.add(ratio):
             self._fell(call, ratio)
             return
-        low = call.running <= LOW_LOAD_SHARE * self._knee
+        low = call.running <= LOW_LOAD_SHARE * self._borne
         if low and self._shrunk_from is None:
             self._baselines.learn(call.profile, time_ms)
         self._window.add(ratio, call.running)
@@ -295,9 +296,9 @@
             self._start_cold(self._sign_started_ms)
 
     def _resume_slower(self):
-        known_limit = self._known_limit
-        self._start_warm(max(2.0, RESUME_SHARE * known_limit), fast=True)
-        self._knee = max(self._knee, known_limit)
+        known = self._known_limit
+        limit = max(2.0, RESUME_SHARE * known)
+        self._start_warm(limit, fast=True, borne=known)
 
     # Signs of trouble.
 
@@ -357,7 +358,8 @@
         if self._known_limit and limit >= self._known_limit:
             self._start_warm(limit, fast=False)
         elif age_ms > (COLD_MAX_MS if self._signs else COLD_QUIET_MS):
-            self._start_warm(limit, fast=self._pace_per_ms is None)
+            borne = max(self._level, self._proven)
+            self._start_warm(limit, self._pace_per_ms is None, borne)
         return limit
 
     def _target(self, age_ms):
@@ -409,6 +411,7 @@
         self._shrunk_from = None
         self._overshot = False
         if ratio < GROW_BELOW and in_use:
+            self._borne = max(self._borne, self._limit)
             self._grow()
 
     def _shrink(self, ratio):
@@ -420,19 +423,19 @@
             self._start_warm(limit, fast=False)
             return
         self._fast = False
+        self._borne *= BORNE_DECAY
         factor = max(SHRINK_MOST, GROW_BELOW / ratio)
         self._limit = max(float(COLD_LIMIT), self._limit * factor)
         self._acted_ms = self._now_ms()
 
     def _grow(self):
-        if self._fast or self._limit < LOW_LOAD_SHARE * self._knee:
+        if self._fast or self._limit < LOW_LOAD_SHARE * self._borne:
             limit = self._limit * FAST_GROWTH + 1
         else:
             limit = self._limit + max(1.0, SLOW_GROWTH * self._limit)
         if self._now_ms() < self._ceiling_until_ms:
             limit = min(limit, float(self._ceiling))
         self._limit = min(float(MAX_LIMIT), limit)
-        self._knee = max(self._limit, self._knee * 0.99)
 
     def _set_ceiling(self, limit):
         self._ceiling = max(COLD_LIMIT, limit)
