--- a/bench/rates.py
+++ b/bench/rates.py
@@ -4,13 +4,15 @@
 
 One organisation sends five times its rate through all nodes while others
 stay within theirs: in a steady fleet, while the node that owns the budget of
-one of the others stops as planned, and while the owner of a further one is
-killed.
+one of the others stops as planned, while the owner of a further one is
+killed, and while that of a third one stands still for a time.
 """
 
 from http.client import HTTPConnection
 import re
 
+import gevent
+
 from bench.fleet import CALLER_PORT
 from bench.fleet import OPERATIONS_PORT
 from bench.fleet import running_fleet
@@ -39,24 +41,35 @@
 WARM_UP_S = 4.0
 WARM_UP_RATE_PER_S = 20
 LOSS_AT_S = 5.0
+FREEZE_S = 5.0
 PATH = '/desk'
 REFUSAL_CODES = ('over-rate', 'unavailable', 'stale-state', 'not-found')
+
+
+def _freeze(node):
+    node.freeze()
+    gevent.spawn_later(FREEZE_S, node.thaw)
+
+
 #: Name, organisation whose owner is lost, and how.
 LOSSES = (
     ('stop', OTHERS[0], lambda node: node.stop()),
     ('kill', OTHERS[1], lambda node: node.kill()),
+    ('freeze', OTHERS[2], _freeze),
 )
 BOUNDS = (
     Bound('over_admitted', '==', 0),
     Bound('false_refusals', '<=', 0.001),
     Bound('stop_over_admitted', '==', 0),
     Bound('kill_over_admitted', '==', 0),
+    Bound('freeze_over_admitted', '==', 0),
 )
 #: Reported beside the bounds, from the worst seed.
 SHOWN = (
     'stop_false_refusals',
     'kill_false_refusals',
     'kill_refused_s',
+    'freeze_false_refusals',
     'flooder_admitted_per_s',
     'wait_p99_ms',
     'grants_per_s_node',
@@ -172,8 +185,9 @@
     load, over_admitted = _load(
         fleet, staying, seed, [(LOSS_AT_S, lambda: lose(owner))]
     )
-    owner.wait()
-    fleet.nodes.remove(owner)
+    if lose is not _freeze:
+        owner.wait()
+        fleet.nodes.remove(owner)
     within = _within(load)
     refused = [a for a in load.answers if a.code in REFUSAL_CODES[1:]]
     last_s = max((answer.at_s for answer in refused), default=LOSS_AT_S)
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -97,6 +97,30 @@
     assert fleet.error(fleet.nodes[2]) is None
 
 
+def test_handover_comes_from_the_latest_owner_only(build):
+    fleet = build(4)
+    first, second, third, holder = fleet.nodes
+    fleet.assign(second)
+    for _ in range(30):
+        # The first owner hears of nothing while the second one starts.
+        second.learn()
+        holder.learn()
+        fleet.time.run_for(100)
+    job = fleet.take(holder, 100)
+    fleet.time.run_for(50)
+    assert job.value is True
+    fleet.assign(third)
+    first.learn()
+    third.learn()
+    fleet.time.run_for(50)
+    request = GrantRequest('acme', fleet.revision, 1, 1, 0, 'node-3')
+    with pytest.raises(Unavailable):
+        third.owner.grant(request)
+    second.learn()
+    fleet.time.run_for(50)
+    assert third.owner.grant(request).tokens == 1
+
+
 def test_owner_that_never_started_hands_nothing_over(build):
     fleet = build(started=False)
     fleet.assign(fleet.nodes[1])
