--- a/damasklanding/budget/bucket.py
+++ b/damasklanding/budget/bucket.py
@@ -24,6 +24,7 @@
 MIN_TTL_MS = 40
 MAX_RESERVE_MS = 500
 SCARCE_PART = 0.5
+AHEAD_SHARES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,16 +102,17 @@
         """
         Issue up to a number of tokens for use now.
 
-        Tokens that no request waits for are shared out in halves, so that
-        no single asker takes all that is left.
+        Tokens that no request waits for are shared out in small parts of
+        what is left, since they may lapse unused.
 
         :param waiting: how many of the wanted ones requests wait for.
         :return: number of tokens.
         """
         whole = math.floor(self.level(now_ms))
-        tokens = min(wanted, whole, max(waiting, whole - whole // 2))
-        self._issue(max(0, tokens), now_ms)
-        return max(0, tokens)
+        share = max(waiting, math.ceil(whole / AHEAD_SHARES))
+        tokens = max(0, min(wanted, whole, share))
+        self._issue(tokens, now_ms)
+        return tokens
 
     def reserve(self, count, wait_ms, now_ms):
         """
--- a/damasklanding/budget/holdings.py
+++ b/damasklanding/budget/holdings.py
@@ -22,7 +22,7 @@
 from damasklanding.wire import GrantRequest
 from damasklanding.wire import GrantReturn
 
-__all__ = ['Holdings']
+__all__ = ['Holdings', 'Received']
 
 ASK_TIMEOUT_MS = 250
 MIN_WAIT_MS = 300  # one time to live of tokens and some round trips
@@ -32,7 +32,7 @@
 
 
 @dataclass(slots=True)
-class _Received:
+class Received:
     """A grant as its lots remember it."""
 
     epoch: int
@@ -205,7 +205,7 @@
     def _receive(self, holding, grant, sent_ms):
         holding.ttl_ms = grant.ttl_ms
         holding.scarce = grant.scarce
-        received = _Received(grant.epoch, grant.serial, grant.ttl_ms)
+        received = Received(grant.epoch, grant.serial, grant.ttl_ms)
         if grant.tokens:
             holding.lots.append(Lot(received, grant.tokens, sent_ms))
             holding.admit_waiters(self._now_ms())
--- a/tests/test_budget_naive.py
+++ b/tests/test_budget_naive.py
@@ -74,6 +74,25 @@
     assert worst_excess(uses, *plan) <= 1e-6
 
 
+def test_burst_to_its_last_token_is_admitted():
+    batches = [
+        (0.0, 18, 0),
+        (0.0, 1, 3),
+        (286.9, 14, 0),
+        (0.0, 6, 0),
+        (86.3, 21, 3),
+        (0.0, 22, 2),
+        (0.0, 20, 0),
+        (0.0, 14, 1),
+        (0.0, 30, 1),
+        (349.6, 16, 0),
+        (0.0, 5, 0),
+        (157.2, 22, 0),
+    ]
+    values, _, _ = run((100.0, 100), batches, within_only=True)
+    assert [value for value in values if value is not True] == []
+
+
 @settings(max_examples=EXAMPLES, derandomize=True, deadline=None)
 @given(PLANS, st.lists(BATCH, max_size=30))
 def test_under_excess_about_as_many_are_admitted(plan, batches):
