--- a/damasklanding/burn.py
+++ b/damasklanding/burn.py
@@ -201,7 +201,7 @@
             self._expire(now_ms)
         bucket[key] = bucket.get(key, 0) + count
 
-    def sums(self, now_ms):
+    def sums(self, now_ms, with_series):
         self._expire(now_ms)
         totals = {}
         for bucket in self._buckets.values():
@@ -210,7 +210,7 @@
         return BucketSums(
             self.window.name,
             [Tally(*key, count) for key, count in sorted(totals.items())],
-            list(self._series(now_ms)),
+            list(self._series(now_ms)) if with_series else [],
         )
 
     def _series(self, now_ms):
@@ -264,12 +264,16 @@
             for ring in self._rings:
                 ring.add(now_ms, key, tally.count)
 
-    def report(self):
-        """Return the :class:`BurnReport` of now."""
+    def report(self, with_series=False):
+        """
+        Return the :class:`BurnReport` of now.
+
+        :param with_series: whether to add the sums of each bucket.
+        """
         now_ms = self._now_ms()
         return BurnReport(
             int(now_ms - self._began_ms),
-            [ring.sums(now_ms) for ring in self._rings],
+            [ring.sums(now_ms, with_series) for ring in self._rings],
         )
 
     def _bounded(self, tally):
--- a/damasklanding/commands/burn.py
+++ b/damasklanding/commands/burn.py
@@ -40,7 +40,8 @@
     Sums what every control host has collected. JUDGEMENT is page when 5 min
     and 1 h both burn at 14.4 or more, ticket when 1 h and 6 h burn at 6.
     """
-    replies = tool.client.call_each(path_of('burn'))
+    path = path_of('burn', series=1 if html else None)
+    replies = tool.client.call_each(path)
     reports = [
         msgspec.convert(reply.body['burn'], BurnReport)
         for reply in answered(replies)
--- a/damasklanding/control/admin.py
+++ b/damasklanding/control/admin.py
@@ -270,8 +270,10 @@
         )
 
     def burn(operator):
-        report = telemetry.burn.report() if telemetry else None
-        return _answer(host, burn=report)
+        if telemetry is None:
+            return _answer(host, burn=None)
+        with_series = bottle.request.query.get('series') == '1'
+        return _answer(host, burn=telemetry.burn.report(with_series))
 
     def snapshot(operator):
         if bottle.request.query.get('fresh') == '1':
--- a/damasklanding/telemetry.py
+++ b/damasklanding/telemetry.py
@@ -15,6 +15,7 @@
 
 __all__ = ['FleetTelemetry', 'NodeLoad', 'NodeTelemetry']
 
+BURN_PERIOD_MS = 3_000
 MAX_NODES = 16_384
 FORGET_AFTER_MS = 30_000
 
@@ -47,21 +48,35 @@
     """
     Node side: builds the status of the next heartbeat.
 
+    Burn rides on one heartbeat in a period, so that its cost in bytes does
+    not depend on how often nodes beat.
+
     :param load_report: returns the node's LoadReport.
     :param metrics: its counts of requests are recorded, where it is given.
     :ivar burn: :class:`damasklanding.burn.BurnRecorder`.
     """
 
-    def __init__(self, load_report=None, metrics=None):
+    def __init__(self, load_report=None, metrics=None, now_ms=monotonic_ms):
         self.burn = BurnRecorder()
         self._load_report = load_report
+        self._now_ms = now_ms
+        self._burn_due_ms = now_ms()
         if metrics is not None:
             metrics.listen('requests_total', self.burn.counted)
 
     def take(self):
         """Return the bytes for the heartbeat's status."""
         load = self._load_report() if self._load_report else None
-        return msgspec.msgpack.encode(_Status(load, self.burn.take_delta()))
+        return msgspec.msgpack.encode(_Status(load, self._take_burn()))
+
+    def _take_burn(self):
+        now_ms = self._now_ms()
+        if now_ms < self._burn_due_ms:
+            return b''
+        delta = self.burn.take_delta()
+        if delta:
+            self._burn_due_ms = now_ms + BURN_PERIOD_MS
+        return delta
 
 
 class FleetTelemetry:
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -167,6 +167,18 @@
     assert merge_reports([]).windows[0].tallies == []
 
 
+def test_burn_rides_on_one_heartbeat_in_a_period():
+    now = [0]
+    node = NodeTelemetry(now_ms=lambda: now[0])
+    fleet = FleetTelemetry(lambda: now[0])
+    seen = []
+    for now[0] in range(0, 6_001, 300):
+        node.burn.record('s', 'p', 'o', True)
+        fleet.receive('n', 'i', node.take())
+        seen.append(counts(fleet.burn, '5m')[0])
+    assert seen == [1] * 10 + [11] * 10 + [21]
+
+
 def test_telemetry_keeps_the_last_load_and_forgets_the_silent():
     now = [0]
     fleet = FleetTelemetry(lambda: now[0])
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -27,7 +27,7 @@
     rows = ROWS + ([Tally('s', 'p', 'o', reason, 9)] if reason else [])
     for number, row in enumerate(rows):
         stores[number % hosts].add('n', msgspec.msgpack.encode([row]))
-    return [store.report() for store in stores]
+    return [store.report(with_series=True) for store in stores]
 
 
 def test_lines_sum_hosts_and_judge():
