Bound the wait for a link to a node that stands still

A frozen process accepts connections but no handshake; a call that was sent its way waited 2 s, and others behind it. It now goes elsewhere after 500 ms.

--- a/damasklanding/node/peers.py
+++ b/damasklanding/node/peers.py
@@ -29,6 +29,7 @@
 PROVE_AFTER_MS = 100  # silence after which a link proves itself first
 PROVE_REPEATABLE_AFTER_MS = 400
 PROVE_TIMEOUT_MS = 150
+OPEN_LIMIT_MS = 500
 RESUME_LIMIT_MS = 3_000
 RESUME_PAUSE_MS = 50
 MAX_DEADLINE_MS = 0xFFFFFFFF
@@ -88,7 +89,7 @@
 
     def _proven_link(self, address, call):
         try:
-            link = self._pool.get(address)
+            link = self._pool.peek(address) or self._open(address)
             limit_ms = PROVE_REPEATABLE_AFTER_MS
             if not call.idempotent:
                 limit_ms = PROVE_AFTER_MS
@@ -102,12 +103,18 @@
             call.guard()
         return link
 
+    def _open(self, address):
+        # A process that stands still accepts connections but no handshake.
+        error = LinkTimeout(f'{address} opened no link in time')
+        with gevent.Timeout(OPEN_LIMIT_MS / 1000, error):
+            return self._pool.get(address)
+
     def _prove(self, link, address):
         try:
             link.prove(PROVE_TIMEOUT_MS)
         except (LinkClosed, LinkTimeout):
             self._pool.replace(address, link)
-            return self._pool.get(address)
+            return self._open(address)
         return link
 
     def _request(self, call, link, retries):
@@ -173,7 +180,7 @@
     def _ask(self, address, call, broken, serial):
         """Return the answer, None where the connection failed again."""
         try:
-            link = self._pool.get(address)
+            link = self._pool.peek(address) or self._open(address)
             if link.peer.instance != broken.peer.instance:
                 raise UpstreamFailed('the node restarted under the request')
             left_ms = call.deadline_at_ms - self._now_ms()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,6 +16,7 @@
 from nodes import two_sites
 import pytest
 
+from damasklanding.clock import monotonic_ms
 from damasklanding.errors import DamasklandingError
 from damasklanding.fleet.resources import Change
 from damasklanding.fleet.resources import Profile
@@ -362,6 +363,25 @@
         relay.server.stop()
 
 
+def test_node_that_stands_still_delays_a_call_only_briefly():
+    with fleet() as made:
+        entry = made.add('entry')
+        server = made.add('server', Backing())
+        still = StreamServer(('127.0.0.1', 0), lambda *_: gevent.sleep(60))
+        still.start()
+        address = '127.0.0.1:%d' % still.server_port
+        made.publish_all()
+        frozen = server.backend(name='still', peer_address=address)
+        made.publish(Change.put('backend', frozen))
+        began_ms = monotonic_ms()
+        for _ in range(6):
+            reply = entry.call('/book', 'POST', b'x')
+            assert (reply.status, reply.outcome) == (200, 'ran')
+        assert monotonic_ms() - began_ms < 4_500
+        assert len(server.backing.seen) == 6
+        still.stop(timeout=0)
+
+
 def test_withdrawn_key_stops_on_an_open_connection():
     with two_sites() as made:
         sock = connect(made.sites['entry'].node.callers.bound_address)
