--- a/damasklanding/policy/limiter.py
+++ b/damasklanding/policy/limiter.py
@@ -8,7 +8,6 @@
 trouble holds new calls until single probes have told which of the two it is.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 from math import sqrt
 
@@ -17,28 +16,22 @@
 from damasklanding.policy.latency import Rise
 from damasklanding.policy.latency import Verdict
 from damasklanding.policy.latency import Window
+from damasklanding.policy.progress import Progress
+from damasklanding.policy.warmup import COLD_LIMIT
+from damasklanding.policy.warmup import Sign
+from damasklanding.policy.warmup import WarmUp
+from damasklanding.policy.warmup import is_slower
 from damasklanding.policy.work import Result
 
-__all__ = ['Call', 'Limiter', 'Phase']
+__all__ = ['Limiter', 'Phase']
 
-COLD_LIMIT = 1
 MAX_LIMIT = 1_000
 
-# Cold: doubles while nothing speaks against it, else grows along a line.
-FIRST_STEP_MS = 250.0
-DOUBLING_MS = 400.0
-DOUBLING_ROUNDS = 8.0  # service times that a doubling takes at least
-MAX_DOUBLINGS = 10.0
-PACE_SHARE = 0.85
+# Cold.
 PROVEN_RATIO = 1.25
 SMOOTH_SHARE = 0.2
 PROVEN_GROWTH = 1.3  # above the highest load that was answered in time
-COLD_MAX_MS = 30_000.0
-COLD_QUIET_MS = 5_000.0  # ends a cold start without a sign of overload
 BATCH_SHARE = 0.25  # of the calls in progress
-SAME_LEVEL_RATIO = 1.15
-LATER_RATIO = 1.5
-LEAST_STEADY_LEVEL = 8
 
 # Warm: by the mean ratio of a window of answers.
 GROW_BELOW = 1.10
@@ -48,7 +41,6 @@
 SURE_SCORES = 2.5
 BORNE_DECAY = 0.98  # of the load once borne, with each shrinking
 SHRINK_MOST = 0.8
-SHRUNK_ENOUGH = 0.7  # share of the former limit after which it is judged
 IN_USE_SHARE = 0.8
 LOW_LOAD_SHARE = 0.75
 MIN_WINDOW = 10
@@ -65,8 +57,6 @@
 SHED_PAUSE_MS = 100.0
 FAILURE_RATIO = 4.0  # a failure counts like an answer of such a ratio
 PROVEN_SHARE = 0.8  # a shed answer below this share of the proven load
-OVERDUE_SCAN = 16
-OVERDUE_SHARE = 0.1
 
 TROUBLE = frozenset((Result.FAILED, Result.RESET, Result.TIMEOUT))
 
@@ -79,24 +69,6 @@
     HELD = 'held'
 
 
-@dataclass(slots=True, eq=False)
-class Call:
-    """
-    A call in progress at the backend server.
-
-    :ivar running: calls in progress, this one included, when it began.
-    :ivar onward: whether it made onward calls, which make its age say
-        nothing.
-    :ivar probe: whether it began while new calls were held.
-    """
-
-    profile: str
-    started_ms: float
-    running: int
-    onward: bool = False
-    probe: bool = False
-
-
 class Limiter:
     """
     Concurrency limit of one backend server.
@@ -106,7 +78,7 @@
 
     def __init__(self, now_ms):
         self._now_ms = now_ms
-        self._calls = {}
+        self._progress = Progress()
         self._baselines = Baselines()
         self._window = Window()
         self._rise = Rise()
@@ -121,7 +93,7 @@
     @property
     def running(self):
         """Return the number of calls in progress."""
-        return len(self._calls)
+        return len(self._progress)
 
     @property
     def cold(self):
@@ -142,7 +114,9 @@
         now_ms = self._now_ms()
         if now_ms < self._pause_until_ms or self.running >= self.limit:
             return False
-        late = self._overdue(now_ms)
+        late = self._progress.overdue(
+            now_ms, self._acted_ms, self._baselines.late_ms
+        )
         if late is not None:
             self._sign(late, FAILURE_RATIO)
         return self.running < self.limit
@@ -152,11 +126,13 @@
         return max(0.0, self._pause_until_ms - self._now_ms())
 
     def begin(self, profile):
-        """Count a call as running and return its :class:`Call`."""
+        """
+        Count a call as running.
+
+        :return: :class:`~damasklanding.policy.progress.Call`.
+        """
         probe = self.phase is Phase.HELD
-        call = Call(profile, self._now_ms(), self.running + 1, probe=probe)
-        self._calls[call] = None
-        return call
+        return self._progress.begin(profile, self._now_ms(), probe)
 
     def end(self, call, result, own_time_ms, onward_ms=0.0):
         """
@@ -168,7 +144,7 @@
         :param own_time_ms: service time without that of onward calls.
         :param onward_ms: time of onward calls.
         """
-        del self._calls[call]
+        self._progress.end(call)
         if result is Result.OK:
             self._answered(call, own_time_ms, onward_ms)
         elif result is Result.SHED:
@@ -194,11 +170,7 @@
 
     def _start_cold(self, since_ms):
         self.phase = Phase.COLD
-        self._cold_since_ms = since_ms
-        self._grown_since_ms = self._now_ms()
-        self._pace_per_ms = None
-        self._signs = []
-        self._level = COLD_LIMIT
+        self._warm_up = WarmUp(since_ms, self._now_ms())
         self._restart()
 
     def _start_warm(self, limit, fast, borne=0.0):
@@ -249,7 +221,7 @@
             self._answered_warm(call, ratio, time_ms)
 
     def _answered_cold(self, call, ratio, time_ms):
-        if call.running <= max(1, LOW_LOAD_SHARE * self._level):
+        if call.running <= max(1, LOW_LOAD_SHARE * self._warm_up.level):
             self._baselines.learn(call.profile, time_ms)
         batch = max(1, int(BATCH_SHARE * call.running))
         if self._rise.add(ratio, self._baselines.spread, batch):
@@ -273,7 +245,7 @@
             return
         self._overshot = True
         self._fast = False
-        self._shrunk_from = (call.running, ratio)
+        self._shrunk_from = Sign(0.0, call.running, ratio)
         self._limit = max(self._proven, call.running / ratio, 1.0)
         self._restart()
 
@@ -318,7 +290,7 @@
             return
         if self.phase is Phase.COLD:
             self._back_off_cold(call, 1.0)
-            self._level = max(COLD_LIMIT, call.running - 1)
+            self._warm_up.level = max(COLD_LIMIT, call.running - 1)
         elif call.running > PROVEN_SHARE * self._proven:
             self._set_ceiling(call.running - 1)
         else:
@@ -332,68 +304,37 @@
         elif self.phase is Phase.COLD:
             self._back_off_cold(call, ratio)
 
-    def _overdue(self, now_ms):
-        late = 0
-        needed = max(2, min(OVERDUE_SCAN / 2, OVERDUE_SHARE * self.running))
-        if self.running <= 2:
-            needed = 1
-        for scanned, call in enumerate(self._calls):
-            if scanned >= OVERDUE_SCAN:
-                break
-            late_ms = self._baselines.late_ms(call.profile)
-            if call.onward or now_ms - call.started_ms <= late_ms:
-                continue
-            late += call.started_ms >= self._acted_ms
-            if late >= needed:
-                return call
-        return None
-
     # Cold.
 
     def _cold_limit(self):
-        age_ms = self._now_ms() - self._cold_since_ms
-        proven = max(self._level, self._proven * PROVEN_GROWTH + 1)
-        limit = min(self._target(age_ms), proven, MAX_LIMIT)
-        limit = max(COLD_LIMIT, int(limit))
+        now_ms = self._now_ms()
+        warm_up = self._warm_up
+        target = warm_up.target(now_ms, self._baselines.mean_ms())
+        proven = max(warm_up.level, self._proven * PROVEN_GROWTH + 1)
+        limit = max(COLD_LIMIT, int(min(target, proven, MAX_LIMIT)))
         if self._known_limit and limit >= self._known_limit:
             self._start_warm(limit, fast=False)
-        elif age_ms > (COLD_MAX_MS if self._signs else COLD_QUIET_MS):
-            borne = max(self._level, self._proven)
-            self._start_warm(limit, self._pace_per_ms is None, borne)
+        elif warm_up.is_over(now_ms):
+            borne = max(warm_up.level, self._proven)
+            self._start_warm(limit, warm_up.unbounded, borne)
         return limit
 
-    def _target(self, age_ms):
-        if self._pace_per_ms is None:
-            grown_ms = self._now_ms() - self._grown_since_ms
-            rounds_ms = DOUBLING_ROUNDS * self._baselines.mean_ms()
-            doubling_ms = max(DOUBLING_MS, rounds_ms)
-            doublings = (grown_ms - FIRST_STEP_MS) / doubling_ms
-            return 2.0 ** min(MAX_DOUBLINGS, max(0.0, doublings))
-        return max(self._level, self._pace_per_ms * age_ms)
-
     def _back_off_cold(self, call, ratio):
         if call.running <= COLD_LIMIT and ratio > 1.0:
             self._baselines.scale(ratio)
             self._restart()
             return
-        sign = _Sign(self._age_ms(call), call.running, ratio)
-        previous = self._signs[-1] if self._signs else None
-        if previous and _is_slower(previous.load(), sign.load()):
+        sign = self._warm_up.sign(call, ratio)
+        signs = self._warm_up.signs
+        if signs and is_slower(signs[-1], sign):
             self._baselines.scale(ratio)
-            self._start_warm(previous.running, fast=False)
+            self._start_warm(signs[-1].running, fast=False)
             return
-        self._signs.append(sign)
-        borne = min(call.running - 1, call.running / sqrt(ratio))
-        borne = max(COLD_LIMIT, borne)
-        if _is_steady(self._signs[-3:]):
+        borne = self._warm_up.back_off(sign)
+        if self._warm_up.is_steady():
             self._start_warm(borne, fast=False)
-            return
-        self._pace_per_ms = PACE_SHARE * borne / sign.age_ms
-        self._level = max(COLD_LIMIT, int(PACE_SHARE * borne))
-        self._restart()
-
-    def _age_ms(self, call):
-        return max(1.0, call.started_ms - self._cold_since_ms)
+        else:
+            self._restart()
 
     # Warm.
 
@@ -415,12 +356,12 @@
             self._grow()
 
     def _shrink(self, ratio):
+        now = Sign(0.0, self._limit, ratio)
         if self._shrunk_from is None:
-            self._shrunk_from = (self._limit, ratio)
-        elif _is_slower(self._shrunk_from, (self._limit, ratio)):
-            limit, _ = self._shrunk_from
+            self._shrunk_from = now
+        elif is_slower(self._shrunk_from, now):
             self._baselines.scale(ratio)
-            self._start_warm(limit, fast=False)
+            self._start_warm(self._shrunk_from.running, fast=False)
             return
         self._fast = False
         self._borne *= BORNE_DECAY
@@ -445,41 +386,3 @@
         self._fast = False
         self._acted_ms = self._now_ms()
         self._window.reset()
-
-
-@dataclass(slots=True, frozen=True)
-class _Sign:
-    """A sign of overload in a cold start."""
-
-    age_ms: float
-    running: int
-    ratio: float
-
-    def load(self):
-        """Return the pair of calls in progress and ratio."""
-        return self.running, self.ratio
-
-
-def _is_steady(signs):
-    """Return whether signs came at one level while time went on."""
-    if len(signs) < 3:
-        return False
-    first, last = signs[0], signs[-1]
-    return (
-        first.running >= LEAST_STEADY_LEVEL
-        and last.age_ms >= LATER_RATIO * first.age_ms
-        and last.running <= SAME_LEVEL_RATIO * first.running
-    )
-
-
-def _is_slower(before, now):
-    """
-    Return whether times stayed long although the load fell by far.
-
-    :param before: pair of load and ratio, like ``now``.
-    """
-    load, ratio = before
-    load_now, ratio_now = now
-    if load_now > max(COLD_LIMIT, SHRUNK_ENOUGH * load):
-        return False
-    return ratio_now > ratio * sqrt(load_now / load)
