--- a/tests/replica_net.py
+++ b/tests/replica_net.py
@@ -16,6 +16,8 @@
 from damasklanding.control.journal import Journal
 from damasklanding.control.members import FOUNDING
 from damasklanding.control.members import Member
+from damasklanding.control.members import MemberChange
+from damasklanding.control.members import encode_change
 from damasklanding.control.replica import Replica
 from damasklanding.control.timing import Timing
 from damasklanding.errors import DamasklandingError
@@ -124,6 +126,31 @@
         )
         return replica
 
+    def change_members(self, action, name):
+        """Ask the leader for a change; return whether it was accepted."""
+        change = encode_change(MemberChange(action, name, name))
+        for replica in list(self.replicas.values()):
+            if replica.leadership is None:
+                continue
+            try:
+                replica.propose(change, 300, 'members')
+                return True
+            except DamasklandingError:
+                pass
+        return False
+
+    def join(self, name):
+        """Start an empty host that is to become a member."""
+        self.lives += 1
+        self.incarnations[name] = f'life-{self.lives}'
+        self.start(name)
+
+    def leave(self, name):
+        """Take a host out of service for good."""
+        if name in self.replicas:
+            self.kill(name)
+        del self.incarnations[name]
+
     def kill(self, name):
         replica = self.replicas.pop(name)
         replica.stop(hand_over=False)
