End what hangs on older connections once silence is proved

Cause: calls whose connection to the backend server fell silent held their slots to the deadline when no retry was left to them, and at a service with four slots others waited for 5 s behind. Change: when a call that was resent has its answer within the usual time, calls sent before it that are past that time end with connection-silent; their slots are free, and the limiter learns nothing from them.

--- a/damasklanding/errors.py
+++ b/damasklanding/errors.py
@@ -12,6 +12,7 @@
     'BadSetting',
     'ClaimUnknown',
     'Conflict',
+    'ConnectionSilent',
     'CorruptStore',
     'DamasklandingError',
     'DeadlineExceeded',
@@ -292,6 +293,12 @@
     may_retry = True
 
 
+class ConnectionSilent(UpstreamFailed):
+    """A connection to a backend server brings nothing any more."""
+
+    code = 'connection-silent'
+
+
 class PeerLost(UpstreamFailed):
     """The connection to the serving node broke after the request was sent."""
 
--- a/damasklanding/node/local.py
+++ b/damasklanding/node/local.py
@@ -9,6 +9,7 @@
 from contextlib import ExitStack
 
 from damasklanding.errors import BadInput
+from damasklanding.errors import ConnectionSilent
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import DeadlineExceeded
 from damasklanding.errors import Draining
@@ -30,6 +31,7 @@
     (BadInput, Result.CANCELLED),
     (DeadlineExceeded, Result.CANCELLED),
     (UpstreamTimeout, Result.TIMEOUT),
+    (ConnectionSilent, Result.CANCELLED),
     (UpstreamFailed, Result.RESET),
     (Unavailable, Result.RESET),
     (DamasklandingError, Result.CANCELLED),
--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -15,6 +15,7 @@
 from urllib3.connection import HTTPConnection
 
 from damasklanding.clock import monotonic_ms
+from damasklanding.errors import ConnectionSilent
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import DeadlineExceeded
 from damasklanding.errors import Unavailable
@@ -115,6 +116,7 @@
         self._now_ms = now_ms
         self._idle = deque()
         self._answer_ms = 0.0
+        self._silence_seen_ms = 0.0
         self._resends = RetryBudget(RESEND_RATIO, RESEND_RESERVE)
 
     def idle_count(self):
@@ -142,9 +144,9 @@
         head = self._head(call, token)
         connection = self._take(call.idempotent)
         fresh = connection.used_ms is None
-        patience_ms = self._patience_ms(call)
+        may_repeat = call.idempotent and call.body.repeatable()
         try:
-            return self._attempt(connection, call, head, patience_ms)
+            return self._attempt(connection, call, head, may_repeat)
         except UpstreamFailed as error:
             connection.close()
             if fresh or not self._may_resend(call, error):
@@ -161,10 +163,11 @@
     def _repeat(self, call, head):
         """Send a call again that may have run already."""
         call.resent_ms = self._now_ms()
+        usual_ms = self._patience_ms()
         try:
             connection = self._connect()
             try:
-                answer = self._attempt(connection, call, head, float('inf'))
+                answer = self._attempt(connection, call, head, False)
             except BaseException:
                 connection.close()
                 raise
@@ -174,6 +177,8 @@
             raise
         if answer.outcome == NOT_RUN:
             answer.outcome = UNKNOWN
+        if self._now_ms() - call.resent_ms < usual_ms:
+            self._silence_seen_ms = call.resent_ms
         return answer
 
     def _may_resend(self, call, error):
@@ -181,10 +186,8 @@
             return False
         return call.idempotent and call.body.repeatable()
 
-    def _patience_ms(self, call):
-        """Return after what time a connection counts as silent."""
-        if not call.idempotent or not call.body.repeatable():
-            return float('inf')
+    def _patience_ms(self):
+        """Return after what time a connection may count as silent."""
         if not self._answer_ms:
             return float('inf')
         return max(MIN_PATIENCE_MS, PATIENCE_FACTOR * self._answer_ms)
@@ -192,14 +195,14 @@
     def _give_up_on(self, call):
         return call.allowance.spend() and self._resends.try_spend()
 
-    def _attempt(self, connection, call, head, patience_ms):
+    def _attempt(self, connection, call, head, may_repeat):
         self._resends.note_call()
         timer = gevent.Timeout(self._left_s(call), TimeoutError)
         timer.start()
         try:
             sent_ms = self._now_ms()
             self._send(connection, call, head)
-            self._await_answer(connection, call, patience_ms)
+            self._await_answer(connection, call, sent_ms, may_repeat)
             self._note_time(self._now_ms() - sent_ms)
             reply = Reply(connection.reader, call.method)
             reply.begin()
@@ -213,15 +216,17 @@
         finally:
             timer.close()
 
-    def _await_answer(self, connection, call, patience_ms):
+    def _await_answer(self, connection, call, sent_ms, may_repeat):
+        patience_ms = self._patience_ms()
         if patience_ms == float('inf'):
             return
-        try:
-            with gevent.Timeout(patience_ms / 1000, _Silence()):
-                connection.reader.peek(1)
-        except _Silence:
-            if self._give_up_on(call):
-                raise
+        while not _is_answered(connection, patience_ms):
+            if may_repeat and self._give_up_on(call):
+                raise _Silence
+            may_repeat = False
+            # A call resent after this one was sent has had its answer.
+            if self._silence_seen_ms > sent_ms:
+                raise ConnectionSilent('the connection fell silent')
 
     def _note_time(self, time_ms):
         if not self._answer_ms:
@@ -367,6 +372,13 @@
         self._idle.append(connection)
 
 
+def _is_answered(connection, patience_ms):
+    with gevent.Timeout(patience_ms / 1000, False):
+        connection.reader.peek(1)
+        return True
+    return False
+
+
 def _broken(cause):
     error = UpstreamFailed(f'the backend server broke off ({cause})')
     error.silent = getattr(cause, 'silent', isinstance(cause, OSError))
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -5,6 +5,7 @@
 import pytest
 
 from damasklanding.clock import monotonic_ms
+from damasklanding.errors import ConnectionSilent
 from damasklanding.errors import Unavailable
 from damasklanding.errors import UpstreamFailed
 from damasklanding.errors import UpstreamTimeout
@@ -248,3 +249,31 @@
     call.allowance = Allowance(0)
     with pytest.raises(UpstreamTimeout):
         upstream.call(call, 't')
+
+
+def test_proved_silence_ends_what_hangs_on_older_connections():
+    silent = []
+
+    def serve(sock):
+        while sock.recv(65_536):
+            if sock in silent:
+                continue
+            if len(silent) < 3 and backend.connections > 1:
+                silent.append(sock)
+                continue
+            sock.sendall(OK)
+
+    backend = Raw(serve)
+    upstream = Upstream(backend.address)
+    upstream.call(a_call(), 't')
+    booking = a_call('POST', idempotent=False, timeout_ms=5_000, body=b'x')
+    spent = a_call(timeout_ms=5_000)
+    spent.allowance = Allowance(0)
+    upstream.close()
+    hanging = [gevent.spawn(upstream.call, c, 't') for c in (booking, spent)]
+    gevent.sleep(0.05)
+    assert upstream.call(a_call(), 't').body == b'ok'
+    gevent.joinall(hanging, timeout=2)
+    for job in hanging:
+        assert isinstance(job.exception, ConnectionSilent)
+        assert job.exception.outcome == 'unknown'
