--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -25,6 +25,7 @@
 from damasklanding.control.reconcile import MemberReconciler
 from damasklanding.control.replica import Replica
 from damasklanding.control.storage import locked_folder
+from damasklanding.errors import CorruptStore
 from damasklanding.errors import LinkTimeout
 from damasklanding.errors import Unavailable
 from damasklanding.fleet.changes import put
@@ -123,6 +124,10 @@
         :return: its :class:`Replica`.
         """
         folder = os.path.join(self.settings.data_folder, name)
+        if not os.path.exists(folder) and stored_incarnation(
+            self.settings.data_folder
+        ):
+            raise CorruptStore(f'{folder} is missing')
         journal = Journal(folder)
         self._resources.callback(journal.close)
         replica = Replica(
--- a/damasklanding/control/journal.py
+++ b/damasklanding/control/journal.py
@@ -326,6 +326,8 @@
         if segments:
             self._load_segment(segments[-1])
             self._fit_to_snapshot(self.snapshot)
+        elif self.vote.term:
+            raise CorruptStore(f'{self.folder} has a vote but no log')
         else:
             self._write_vote(self.vote)
             self._reset(self.snapshot)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -120,6 +120,31 @@
         opened(tmp_path)
 
 
+def test_log_that_was_removed_is_noticed(tmp_path):
+    written(tmp_path)
+    os.unlink(segment(tmp_path))
+    with pytest.raises(CorruptStore, match='no log'):
+        opened(tmp_path)
+
+
+def test_snapshot_that_was_removed_is_noticed(tmp_path):
+    written(tmp_path)
+    journal = opened(tmp_path)
+    journal.save_snapshot(Snapshot(10, 1, b'', b'state'))
+    journal.close()
+    os.unlink(tmp_path / 'config' / 'snapshot')
+    with pytest.raises(CorruptStore, match='lacks the snapshot'):
+        opened(tmp_path)
+
+
+def test_crash_in_the_very_first_open_is_harmless(tmp_path):
+    opened(tmp_path).close()
+    os.unlink(segment(tmp_path))
+    journal = opened(tmp_path)
+    assert journal.is_empty()
+    journal.close()
+
+
 def test_later_entries_replace_what_stood_from_their_index(tmp_path):
     written(tmp_path)
     journal = opened(tmp_path)
