Start again from the load that was borne, and throttle entries less

At 1.6 requests let through for each answer the entry throttle held goodput below what the deep service could give, and a hold that turned out to be no slowdown started again from one call. It is 3 now, and a cold start after a hold begins at the load over the ratio that was seen.

--- a/damasklanding/policy/latency.py
+++ b/damasklanding/policy/latency.py
@@ -171,18 +171,29 @@
     def __init__(self, slack, alarm_at):
         self._slack = slack
         self._alarm_at = alarm_at
-        self._sum = 0.0
+        self.reset()
 
     def reset(self):
         """Forget all samples."""
         self._sum = 0.0
+        self._logs = 0.0
+        self._count = 0
 
     def add(self, ratio):
         """Take a sample; return whether the fall is established."""
-        gain = log(max(ratio, 0.01)) - self._slack
-        self._sum = max(0.0, self._sum + gain)
+        sample = log(max(ratio, 0.01))
+        self._sum += sample - self._slack
+        if self._sum <= 0.0:
+            self.reset()
+            return False
+        self._logs += sample
+        self._count += 1
         return self._sum >= self._alarm_at
 
+    def mean_ratio(self):
+        """Return the mean ratio since the sum last was zero."""
+        return exp(self._logs / self._count) if self._count else LATE_RATIO
+
 
 class Verdict:
     """
--- a/damasklanding/policy/limiter.py
+++ b/damasklanding/policy/limiter.py
@@ -49,7 +49,7 @@
 FALL_ALARM = 2.0
 
 # Held: what ends it.
-SLOWER_LOG = 0.4
+SLOWER_LOG = 0.3
 PROBED_ENOUGH = 0.6
 NORMAL_ANSWERS = 3
 SLOWER_RATIO = 1.6
@@ -168,9 +168,9 @@
 
     # Phases.
 
-    def _start_cold(self, since_ms):
+    def _start_cold(self, since_ms, level=COLD_LIMIT):
         self.phase = Phase.COLD
-        self._warm_up = WarmUp(since_ms, self._now_ms())
+        self._warm_up = WarmUp(since_ms, self._now_ms(), level)
         self._restart()
 
     def _start_warm(self, limit, fast, borne=0.0):
@@ -184,10 +184,11 @@
         self._ceiling_until_ms = float('-inf')
         self._restart()
 
-    def _start_held(self, sign):
+    def _start_held(self, sign, ratio=FAILURE_RATIO):
         self.phase = Phase.HELD
         self._known_limit = self._limit
         self._sign_started_ms = sign.started_ms
+        self._held_level = max(COLD_LIMIT, int(sign.running / ratio))
         self._normal = 0
         self._verdict.reset()
         self._restart()
@@ -241,7 +242,7 @@
     def _fell(self, call, ratio):
         """Tell a limit that was never tried before from a change."""
         if call.running <= PROVEN_GROWTH * self._proven or self._overshot:
-            self._start_held(call)
+            self._start_held(call, self._fall.mean_ratio())
             return
         self._overshot = True
         self._fast = False
@@ -261,11 +262,14 @@
         slower = self._verdict.add(ratio)
         if slower is None:
             return
+        ratio = self._verdict.mean_ratio()
         if slower:
-            self._baselines.scale(self._verdict.mean_ratio())
+            self._baselines.scale(ratio)
             self._resume_slower()
         else:
-            self._start_cold(self._sign_started_ms)
+            if ratio > 1.0:
+                self._baselines.scale(ratio)
+            self._start_cold(self._sign_started_ms, self._held_level)
 
     def _resume_slower(self):
         known = self._known_limit
@@ -294,7 +298,7 @@
         elif call.running > PROVEN_SHARE * self._proven:
             self._set_ceiling(call.running - 1)
         else:
-            self._start_held(call)
+            self._start_held(call, float(call.running))
 
     def _sign(self, call, ratio):
         if call.started_ms < self._acted_ms:
--- a/damasklanding/policy/pressure.py
+++ b/damasklanding/policy/pressure.py
@@ -18,7 +18,7 @@
 SHED_SHARE = 0.5  # of a class refused, from which it counts as shed
 LEVELS = 4
 
-HEADROOM = 1.6  # requests let through for each that was answered
+HEADROOM = 3.0
 LEAST_REQUESTS = 5.0
 MOST_REFUSED_SHARE = 0.95  # what is left probes for the end of the overload
 RETRY_AFTER_MS = 500
--- a/damasklanding/policy/warmup.py
+++ b/damasklanding/policy/warmup.py
@@ -46,12 +46,14 @@
 
     :param since_ms: when it began, as far as known.
     :param now_ms: time from which the limit grows.
-    :ivar level: load taken to be borne.
+    :param level: load taken to be borne.
+    :ivar level: the same, now.
     :ivar signs: signs of overload so far.
     """
 
-    def __init__(self, since_ms, now_ms):
-        self.level = COLD_LIMIT
+    def __init__(self, since_ms, now_ms, level=COLD_LIMIT):
+        self.level = level
+        self._first_level = level
         self.signs = []
         self._since_ms = since_ms
         self._grown_since_ms = now_ms
@@ -70,7 +72,7 @@
         doubling_ms = max(DOUBLING_MS, DOUBLING_ROUNDS * service_ms)
         grown_ms = now_ms - self._grown_since_ms - FIRST_STEP_MS
         doublings = min(MAX_DOUBLINGS, max(0.0, grown_ms / doubling_ms))
-        return 2.0**doublings
+        return self._first_level * 2.0**doublings
 
     def is_over(self, now_ms):
         """Return whether it has lasted long enough."""
