Resend a forwarded proposal to the next leader

A follower waited on a silent leader for the whole time of a proposal, also when another led already. It waits 1 s and asks again; once a forward has gone unanswered, the outcome is never reported as not proposed.

--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -30,6 +30,7 @@
 from damasklanding.control.timing import Timing
 from damasklanding.errors import BadInput
 from damasklanding.errors import CorruptStore
+from damasklanding.errors import LinkTimeout
 from damasklanding.errors import NotLeader
 from damasklanding.errors import TooLarge
 from damasklanding.errors import Unavailable
@@ -45,6 +46,7 @@
 __all__ = ['Replica']
 
 PROPOSE_TIMEOUT_MS = 3_000
+FORWARD_TIMEOUT_MS = 1_000
 LEADER_POLL_MS = 10
 MAX_PAYLOAD_BYTES = 1_048_576
 PROPOSED_KINDS = ('command', 'members')
@@ -173,15 +175,21 @@
         if len(payload) > MAX_PAYLOAD_BYTES:
             raise TooLarge(f'a proposal of {len(payload)} bytes')
         deadline_ms = self.now_ms() + timeout_ms
+        lost = None
         while True:
             left_ms = deadline_ms - self.now_ms()
             if self._may_append():
                 return self._propose_here(kind, payload, left_ms)
-            if self.leader not in ('', self.name):
-                message = Propose(self.group, payload, True, kind)
-                return self.send(self.leader, message, left_ms).outcome
             if left_ms <= 0 or not self._running:
-                raise NotLeader(f'group {self.group} has no leader now')
+                raise lost or NotLeader(f'{self.group} has no leader now')
+            try:
+                if self.leader not in ('', self.name):
+                    return self._forward(kind, payload, left_ms)
+            except NotLeader:
+                pass
+            except LinkTimeout as error:
+                # Another may lead by now; a resend is applied once.
+                lost = error
             gevent.sleep(LEADER_POLL_MS / 1000)
 
     def confirmed_age_ms(self):
@@ -351,6 +359,11 @@
         elif entry.kind == 'settled':
             self.membership.mark(entry.index, int(entry.payload))
 
+    def _forward(self, kind, payload, timeout_ms):
+        message = Propose(self.group, payload, True, kind)
+        limit_ms = min(timeout_ms, FORWARD_TIMEOUT_MS)
+        return self.send(self.leader, message, limit_ms).outcome
+
     def _may_append(self):
         leadership = self.leadership
         return leadership is not None and not leadership.hands_over
--- a/tests/replica_net.py
+++ b/tests/replica_net.py
@@ -98,6 +98,7 @@
         self.incarnations = dict.fromkeys(names, FOUNDING)
         self.replicas = {}
         self.cut = set()
+        self.silent = set()
         self.slow_ms = 0
         self.repeats = False
         self.lives = 0
@@ -165,6 +166,9 @@
 
     def send(self, source, target, message, timeout_ms):
         replica = self.replicas.get(target)
+        if self.silent & {source, target}:
+            gevent.sleep(timeout_ms / 1000)
+            raise LinkTimeout(f'{target} did not answer')
         if replica is None or source in self.cut or target in self.cut:
             raise LinkClosed(f'no path from {source} to {target}')
         if self.repeats and self.random.random() < 0.1:
@@ -238,6 +242,7 @@
 
     def heal(self):
         self.cut.clear()
+        self.silent.clear()
         self.slow_ms = 0
         self.repeats = False
         for name in self.incarnations:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -6,7 +6,9 @@
 from replica_net import Net
 from replica_net import eventually
 
+from damasklanding.errors import NotLeader
 from damasklanding.errors import TooLarge
+from damasklanding.errors import Unavailable
 
 
 @contextmanager
@@ -62,6 +64,27 @@
         assert b'lost' not in fleet.leader().machine.payloads()
 
 
+def test_proposal_on_its_way_to_a_silent_leader_reaches_the_next(tmp_path):
+    with net(tmp_path) as fleet:
+        leader = fleet.leader()
+        follower = others(fleet, leader.name)[0]
+        fleet.silent.add(leader.name)
+        assert fleet.propose(follower, b'kept', 2_500)
+        fleet.converge()
+        fleet.check_converged()
+
+
+def test_lost_answer_is_never_reported_as_not_proposed(tmp_path):
+    with net(tmp_path) as fleet:
+        leader = fleet.leader()
+        follower, other = others(fleet, leader.name)
+        fleet.silent.add(leader.name)
+        fleet.cut.add(other)
+        with pytest.raises(Unavailable) as caught:
+            fleet.replicas[follower].propose(b'maybe', 1_500)
+        assert not isinstance(caught.value, NotLeader)
+
+
 def test_isolated_host_disturbs_nobody_when_it_returns(tmp_path):
     with net(tmp_path) as fleet:
         leader = fleet.leader()
