--- a/damasklanding/adminclient.py
+++ b/damasklanding/adminclient.py
@@ -37,6 +37,7 @@
 FIRST_ROUND_TIMEOUT_MS = 1_500
 ROUNDS = 3
 ROUND_PAUSE_MS = 300
+WILDCARDS = ('0.0.0.0', '::')
 _TRY_ANOTHER = {'unavailable', 'not-leader', 'stale-state', 'link-closed'}
 _TRY_ANOTHER |= {'link-timeout'}
 
@@ -97,6 +98,7 @@
         self._token = token
         self._timeout_ms = timeout_ms
         self._pools = {}
+        self._discovered = False
 
     def call(
         self, method, path, body=None, expected_revision=None, request_id=None
@@ -119,7 +121,11 @@
         return self._first('GET', path, None, self._headers(), bytes)
 
     def call_each(self, path):
-        """Ask every control host; return a list of :class:`HostReply`."""
+        """
+        Ask every control host, also those that only the fleet knows.
+
+        :return: list of :class:`HostReply`.
+        """
         return self._each(path, _decode_json)
 
     def download_each(self, path):
@@ -133,6 +139,7 @@
         self._pools.clear()
 
     def _each(self, path, decode):
+        self._discover()
         headers = self._headers()
         replies = []
         for address in self.addresses:
@@ -179,6 +186,22 @@
                 return answer
         raise _all_failed(failures)
 
+    def _discover(self):
+        """Add the administration addresses that control hosts announced."""
+        if self._discovered:
+            return
+        try:
+            items = self.call('GET', path_of('control-hosts'))['items']
+        except DamasklandingError:
+            return
+        self._discovered = True
+        known = [item['admin_address'] for item in items]
+        self.addresses += [
+            address
+            for address in known
+            if address not in self.addresses and _is_reachable(address)
+        ]
+
     def _prefer(self, address):
         self.addresses.remove(address)
         self.addresses.insert(0, address)
@@ -228,6 +251,15 @@
         return pool
 
 
+def _is_reachable(address):
+    """Return whether an announced address is one and no wildcard."""
+    try:
+        host, port = split_address(address)
+    except ValueError:
+        return False
+    return port > 0 and host not in WILDCARDS
+
+
 def answered(replies):
     """
     Return the replies that are no errors.
--- a/tests/test_adminclient.py
+++ b/tests/test_adminclient.py
@@ -13,6 +13,8 @@
 from damasklanding.errors import Conflict
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import Unavailable
+from damasklanding.fleet.resources import ControlHost
+from tests.fakes_admin import FakeHost
 from tests.fakes_admin import make_app
 from tests.fakes_admin import served
 
@@ -128,6 +130,26 @@
     assert len(host.envelopes) == 2
 
 
+def test_every_announced_control_host_is_asked(tmp_path):
+    first, host, *_ = make_app(tmp_path)
+    second, *_ = make_app(tmp_path, FakeHost('c2'))
+    with served(first) as one, served(second) as two:
+        for name, admin in (
+            ('c1', one),
+            ('c2', two),
+            ('c3', '0.0.0.0:7405'),
+            ('c4', ''),
+        ):
+            item = ControlHost(
+                name=name, peer_address='127.0.0.1:1', admin_address=admin
+            )
+            host.put('control_host', item)
+        client = AdminClient([one], TOKEN)
+        replies = run(client.call_each, path_of('watchers'))
+    assert [reply.address for reply in replies] == [one, two]
+    assert [reply.body['name'] for reply in replies] == ['c1', 'c2']
+
+
 def test_no_host_at_all_names_each(monkeypatch):
     monkeypatch.setattr(adminclient, 'ROUND_PAUSE_MS', 1)
     client = AdminClient(['127.0.0.1:9', '127.0.0.2:9'], TOKEN)
