--- a/damasklanding/waiting.py
+++ b/damasklanding/waiting.py
@@ -56,14 +56,15 @@
     ]
     present = _instances_in_force(good, revision)
     shared = {reply.body['name'] for reply in here}
+    registered = _registered(client)
     lagging = sorted(
         name
-        for name, instance in _registered(client)
+        for name, instance in registered
         if (name, instance) not in present and name not in shared
     )
     return InForce(
         revision,
-        len(present),
+        len(registered) - len(lagging),
         lagging + behind,
         [reply.address for reply in replies if reply.error is not None],
     )
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -182,8 +182,11 @@
     assert lagging.exit_code == 8
     assert 'n2' in lagging.output
     assert 'n1' not in lagging.stderr
-    fleet.hosts[1].watching = [Watcher('n2', 'i', 9, 0)]
-    assert fleet.run('wait', '3').exit_code == 0
+    fleet.hosts[1].watching = [
+        Watcher('n2', 'i', 9, 0),
+        Watcher('some-tool', 'i', 9, 0),
+    ]
+    assert fleet.json('wait', '3')['nodes'] == 2
 
 
 def test_restarted_instance_counts_by_its_own_revision(fleet):
