Use one timeout for entries and forwarded proposals

The forward had a constant of its own, which made two tests wait 2.3 s more than the others' timing.

--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -46,7 +46,6 @@
 __all__ = ['Replica']
 
 PROPOSE_TIMEOUT_MS = 3_000
-FORWARD_TIMEOUT_MS = 1_000
 LEADER_POLL_MS = 10
 MAX_PAYLOAD_BYTES = 1_048_576
 PROPOSED_KINDS = ('command', 'members')
@@ -361,7 +360,7 @@
 
     def _forward(self, kind, payload, timeout_ms):
         message = Propose(self.group, payload, True, kind)
-        limit_ms = min(timeout_ms, FORWARD_TIMEOUT_MS)
+        limit_ms = min(timeout_ms, self.timing.request_timeout_ms)
         return self.send(self.leader, message, limit_ms).outcome
 
     def _may_append(self):
--- a/damasklanding/control/timing.py
+++ b/damasklanding/control/timing.py
@@ -17,6 +17,7 @@
 
     :ivar election_min_ms: votes are refused for so long after a leader was
         heard.
+    :ivar request_timeout_ms: for entries and forwarded proposals.
     :ivar election_max_ms: a leader without a quorum's answers for so long
         steps down.
     """
@@ -24,7 +25,7 @@
     heartbeat_ms: int = 100
     election_min_ms: int = 600
     election_max_ms: int = 1_200
-    request_timeout_ms: int = 1_500
+    request_timeout_ms: int = 1_000
     snapshot_timeout_ms: int = 5_000
     snapshot_entries: int = 4_096
     snapshot_bytes: int = 8_388_608
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -81,7 +81,7 @@
         fleet.silent.add(leader.name)
         fleet.cut.add(other)
         with pytest.raises(Unavailable) as caught:
-            fleet.replicas[follower].propose(b'maybe', 1_500)
+            fleet.replicas[follower].propose(b'maybe', 300)
         assert not isinstance(caught.value, NotLeader)
 
 
