--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -45,6 +45,8 @@
         'recovery_s': _recovery_s(surge, RECOVERED_SHARE * before),
         'before': before,
         'during': success_ratio(surge.during()),
+        'goodput_ratio': surge.goodput_per_s() / surge.capacity_per_s,
+        'important_ratio': success_ratio(surge.during('desk')),
     }
 
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -1,4 +1,6 @@
+from collections import Counter
 from contextlib import ExitStack
+from random import Random
 
 import gevent
 import pytest
@@ -93,3 +95,43 @@
     assert gate.load().running == 1
     second.kill()
     assert gate.load().running == 0
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_every_call_ends_once_whatever_is_killed(seed):
+    gate = build_gate('s')
+    random = Random(seed)
+    ends = Counter()
+    results = list(Result)
+
+    def call(name):
+        fields = {
+            'organisation': random.choice('abc'),
+            'importance': random.randrange(4),
+            'wait_ms': random.choice((0, 5, 50)),
+            'left_ms': random.choice((2, 20, 200)),
+        }
+        try:
+            with gate.admit(work(**fields)) as slot:
+                assert gate.limiter.running >= 1
+                gevent.sleep(random.uniform(0, 0.003))
+                if random.random() < 0.8:
+                    slot.finish(random.choice(results))
+        except (Overloaded, DeadlineExceeded) as error:
+            assert error.retry_after_ms > 0
+        finally:
+            ends[name] += 1
+
+    greenlets = []
+    for index in range(300):
+        greenlets.append(gevent.spawn(call, index))
+        if random.random() < 0.2:
+            random.choice(greenlets).kill(block=False)
+        if random.random() < 0.3:
+            gevent.sleep(0.001)
+    gevent.joinall(greenlets, timeout=5)
+    assert all(greenlet.ready() for greenlet in greenlets)
+    assert all(greenlet.successful() for greenlet in greenlets)
+    assert set(ends.values()) == {1}
+    load = gate.load()
+    assert (load.running, load.queued) == (0, 0)
