--- a/damasklanding/burn.py
+++ b/damasklanding/burn.py
@@ -2,32 +2,30 @@
 damasklanding.burn
 ~~~~~~~~~~~~~~~~~~
 
-Service-level burn.  A node counts good and bad requests and sends what was
-added since its last heartbeat; a control host sums them over three windows.
-The burn rate of a window is its bad ratio over the ratio that the profile's
+Service-level burn.  A control host sums what nodes counted over three
+windows.  The burn rate of a window is its bad ratio over the ratio that the profile's
 objective allows: at 1 the error budget lasts exactly its period.
 """
 
 import msgspec
 
 from damasklanding.clock import monotonic_ms
+from damasklanding.tallies import OTHER
+from damasklanding.tallies import Tally
+from damasklanding.tallies import fold_service
 
 __all__ = [
     'WINDOWS',
-    'BurnRecorder',
     'BurnReport',
     'BurnStore',
-    'Tally',
     'Window',
     'burn_rate',
     'judge',
     'merge_reports',
 ]
 
-MAX_DELTA_ROWS = 96
 MAX_KEYS = 8_192
 MAX_ORGANISATIONS = 2_048
-OTHER = '*'
 MIN_BAD_REQUESTS = 5
 
 PAGE = 'page'
@@ -53,23 +51,6 @@
     Window('6h', 21_600_000, 300_000),
 )
 
-#: Reasons that say nothing about the service: the caller's own doing.
-CALLER_REASONS = frozenset(
-    (
-        'bad-input',
-        'caller-gone',
-        'forbidden',
-        'header-timeout',
-        'headers-too-large',
-        'key-refused',
-        'key-reused',
-        'not-found',
-        'over-rate',
-        'too-large',
-    )
-)
-GOOD = 'ok'
-
 #: Judgement, the two windows that must both burn, and the rate of each.
 JUDGEMENTS = (
     (PAGE, ('5m', '1h'), 14.4),
@@ -77,81 +58,6 @@
 )
 
 
-class Tally(msgspec.Struct, array_like=True, frozen=True):
-    """
-    Requests that ended alike.
-
-    :ivar reason: empty for good requests.
-    """
-
-    service: str
-    profile: str
-    organisation: str
-    reason: str
-    count: int
-
-
-class BurnRecorder:
-    """Counts on a node what the next heartbeat reports."""
-
-    def __init__(self):
-        self._counts = {}
-
-    def counted(self, labels, amount):
-        """Record a count of ``requests_total``, with its labels."""
-        service, profile, organisation, _, reason = labels
-        if not service or reason in CALLER_REASONS:
-            return
-        good = reason == GOOD
-        self.record(service, profile, organisation, good, reason, amount)
-
-    def record(self, service, profile, organisation, good, reason='', count=1):
-        """Count requests by how they ended."""
-        key = (service, profile, organisation, '' if good else reason)
-        self._counts[key] = self._counts.get(key, 0) + count
-
-    def take_delta(self):
-        """
-        Return what was counted since the last call, encoded.
-
-        The number of rows is bounded; rows beyond it lose their
-        organisation, then their reason, but never their count.
-        """
-        if not self._counts:
-            return b''
-        counts, self._counts = self._counts, {}
-        for fold in (_fold_organisation, _fold_reason, _fold_service):
-            if len(counts) <= MAX_DELTA_ROWS:
-                break
-            counts = _fold(counts, fold)
-        return msgspec.msgpack.encode(
-            [Tally(*key, count) for key, count in counts.items()]
-        )
-
-
-def _fold(counts, fold):
-    kept = sorted(counts.items(), key=lambda item: item[1], reverse=True)
-    folded = dict(kept[: MAX_DELTA_ROWS // 2])
-    for key, count in kept[MAX_DELTA_ROWS // 2 :]:
-        key = fold(key)
-        folded[key] = folded.get(key, 0) + count
-    return folded
-
-
-def _fold_organisation(key):
-    service, profile, _, reason = key
-    return service, profile, OTHER, reason
-
-
-def _fold_reason(key):
-    service, profile, _, reason = key
-    return service, profile, OTHER, OTHER if reason else ''
-
-
-def _fold_service(key):
-    return OTHER, OTHER, OTHER, OTHER if key[3] else ''
-
-
 class BucketSums(msgspec.Struct):
     """
     Sums of one window at the time of the report.
@@ -246,7 +152,7 @@
         Add what a node has counted; a malformed delta is only counted.
 
         :param node: name of the node.
-        :param delta: bytes of :meth:`BurnRecorder.take_delta`.
+        :param delta: bytes that a node's BurnRecorder gave.
         """
         if not delta:
             return
@@ -284,7 +190,7 @@
         if key in self._keys or len(self._keys) < MAX_KEYS:
             self._keys.add(key)
             return key
-        return _fold_service(key)
+        return fold_service(key)
 
 
 _decode_tallies = msgspec.msgpack.Decoder(list[Tally]).decode
--- a/damasklanding/telemetry.py
+++ b/damasklanding/telemetry.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from damasklanding.burn import BurnRecorder
 from damasklanding.burn import BurnStore
 from damasklanding.clock import monotonic_ms
 from damasklanding.policy.work import LoadReport
+from damasklanding.tallies import BurnRecorder
 
 __all__ = ['FleetTelemetry', 'NodeLoad', 'NodeTelemetry']
 
@@ -53,7 +53,7 @@
 
     :param load_report: returns the node's LoadReport.
     :param metrics: its counts of requests are recorded, where it is given.
-    :ivar burn: :class:`damasklanding.burn.BurnRecorder`.
+    :ivar burn: :class:`damasklanding.tallies.BurnRecorder`.
     """
 
     def __init__(self, load_report=None, metrics=None, now_ms=monotonic_ms):
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -6,13 +6,13 @@
 import msgspec
 import pytest
 
-from damasklanding.burn import BurnRecorder
 from damasklanding.fleet.commands import Outcome
 from damasklanding.fleet.resources import Backend
 from damasklanding.fleet.resources import DataCentre
 from damasklanding.logs import configure_logs
 from damasklanding.policy.work import LoadReport
 from damasklanding.snapshot import decode_snapshot
+from damasklanding.tallies import BurnRecorder
 from damasklanding.telemetry import NodeTelemetry
 from tests.fakes_admin import FakeHost
 from tests.fakes_admin import Watcher
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -5,16 +5,16 @@
 import pytest
 
 from damasklanding import burn
-from damasklanding.burn import MAX_DELTA_ROWS
 from damasklanding.burn import MAX_KEYS
-from damasklanding.burn import BurnRecorder
 from damasklanding.burn import BurnStore
-from damasklanding.burn import Tally
 from damasklanding.burn import burn_rate
 from damasklanding.burn import judge
 from damasklanding.burn import merge_reports
 from damasklanding.metrics import Metrics
 from damasklanding.policy.work import LoadReport
+from damasklanding.tallies import MAX_DELTA_ROWS
+from damasklanding.tallies import BurnRecorder
+from damasklanding.tallies import Tally
 from damasklanding.telemetry import FORGET_AFTER_MS
 from damasklanding.telemetry import FleetTelemetry
 from damasklanding.telemetry import NodeTelemetry
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -6,11 +6,11 @@
 from gevent.threadpool import ThreadPool
 import pytest
 
-from damasklanding.burn import BurnRecorder
 from damasklanding.cmdline import tool_group
 from damasklanding.fleet.resources import Backend
 from damasklanding.fleet.resources import DataCentre
 from damasklanding.fleet.resources import Organisation
+from damasklanding.tallies import BurnRecorder
 from tests.fakes_admin import FakeHost
 from tests.fakes_admin import Watcher
 from tests.fakes_admin import make_app
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -5,11 +5,11 @@
 
 from damasklanding import page
 from damasklanding.burn import BurnStore
-from damasklanding.burn import Tally
 from damasklanding.errors import BadSetting
 from damasklanding.page import burn_page
 from damasklanding.report import burn_text
 from damasklanding.report import fleet_burn
+from damasklanding.tallies import Tally
 
 OBJECTIVES = {'bookings': 0.99}
 ROWS = [
