--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -201,6 +201,7 @@
         if announcement != self._announced:
             self._announced = announcement
             self.service = announcement.service
+            self._gate.service = announcement.service
             self._follow(announcement)
         self._on_announce(announcement)
 
--- a/damasklanding/node/local.py
+++ b/damasklanding/node/local.py
@@ -50,6 +50,7 @@
         profile.longest_wait_ms if profile else DEFAULT_LONGEST_WAIT_MS,
         profile.discipline if profile else 'adaptive',
         call.profile,
+        profile.weight if profile else 1,
     )
 
 
