--- a/damasklanding/burn.py
+++ b/damasklanding/burn.py
@@ -3,8 +3,8 @@
 ~~~~~~~~~~~~~~~~~~
 
 Service-level burn.  A control host sums what nodes counted over three
-windows.  The burn rate of a window is its bad ratio over the ratio that the profile's
-objective allows: at 1 the error budget lasts exactly its period.
+windows.  The burn rate of a window is its bad ratio over the ratio that the
+profile's objective allows: at 1 the error budget lasts exactly its period.
 """
 
 import msgspec
