Spread the budgets over 512 shards and let nodes learn control hosts

Change: 512 shards from one constant, names of three digits, a stopping flag, the view handed to the control client. Tests that named 64, 32 and 22 now name the constant and the same ratios. Before: 31% at an owner (product of measured slope and size).

--- a/bench/rates.py
+++ b/bench/rates.py
@@ -26,7 +26,7 @@
 from bench.result import print_table
 from bench.result import summarise
 from bench.standin import now_ms
-from damasklanding.node.view import budget_shard_of
+from damasklanding.fleet.shards import budget_shard_of
 
 __all__ = ['conforming', 'run']
 
--- a/damasklanding/budget/holding.py
+++ b/damasklanding/budget/holding.py
@@ -10,7 +10,7 @@
 
 from gevent.event import Event
 
-from damasklanding.node.view import budget_shard_of
+from damasklanding.fleet.shards import budget_shard_of
 
 __all__ = ['CLOCK_MARGIN', 'Holding', 'Lot', 'Waiter']
 
--- a/damasklanding/budget/owner.py
+++ b/damasklanding/budget/owner.py
@@ -21,7 +21,7 @@
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import StaleState
 from damasklanding.errors import Unavailable
-from damasklanding.node.view import budget_shard_of
+from damasklanding.fleet.shards import budget_shard_of
 from damasklanding.wire import Accepted
 from damasklanding.wire import Grant
 from damasklanding.wire import GrantRequest
--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -237,7 +237,9 @@
         self._fresh_limit_ms = settings.fresh_limit_ms
         self._encode_load = encode_load
         self._decode_load = decode_load
-        client = ControlClient(daemon.pool, settings.control_hosts)
+        client = ControlClient(
+            daemon.pool, settings.control_hosts, view=self.view
+        )
         self.registration = Registration(
             Backend(
                 name=settings.name,
--- a/damasklanding/fleet/shards.py
+++ b/damasklanding/fleet/shards.py
@@ -6,13 +6,26 @@
 host computes the same assignment from the same state.
 """
 
+import hashlib
+
 from damasklanding.fleet.changes import put
 from damasklanding.fleet.resources import BudgetShard
 
-__all__ = ['SHARD_NAMES', 'assign_shards']
+__all__ = [
+    'BUDGET_SHARDS',
+    'SHARD_NAMES',
+    'assign_shards',
+    'budget_shard_of',
+]
+
+BUDGET_SHARDS = 512
+SHARD_NAMES = tuple(f'shard-{number:03d}' for number in range(BUDGET_SHARDS))
+
 
-BUDGET_SHARDS = 64
-SHARD_NAMES = tuple(f'shard-{number:02d}' for number in range(BUDGET_SHARDS))
+def budget_shard_of(organisation):
+    """Return the name of the shard that holds an organisation's budget."""
+    digest = hashlib.sha256(organisation.encode()).digest()
+    return SHARD_NAMES[int.from_bytes(digest[:4]) % BUDGET_SHARDS]
 
 
 def assign_shards(state, updates, revision):
--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -549,6 +549,7 @@
     def __init__(self, address, identity, secret, handlers, options=None):
         self.links = set()
         self.refused = 0
+        self._stopping = False
         self._identity = identity
         self._secret = secret
         self._handlers = handlers
@@ -567,6 +568,7 @@
 
     def stop(self):
         """Stop accepting and close all links."""
+        self._stopping = True
         self._server.stop(timeout=0)
         for link in list(self.links):
             link.close()
@@ -587,6 +589,9 @@
             self.refused += 1
             self._refuse(sock, error)
             return
+        if self._stopping:
+            sock.close()
+            return
         link = Link(sock, peer, self._handlers, False, self._options)
         self.links.add(link)
         link.start()
--- a/damasklanding/node/view.py
+++ b/damasklanding/node/view.py
@@ -15,9 +15,7 @@
 from damasklanding.errors import StaleState
 from damasklanding.fleet.state import FleetState
 
-__all__ = ['FleetView', 'budget_shard_of', 'key_digest']
-
-BUDGET_SHARDS = 64
+__all__ = ['FleetView', 'key_digest']
 
 
 def key_digest(key):
@@ -25,12 +23,6 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def budget_shard_of(organisation):
-    """Return the name of the shard that holds an organisation's budget."""
-    digest = hashlib.sha256(organisation.encode()).digest()
-    return f'shard-{digest[0] % BUDGET_SHARDS:02d}'
-
-
 class FleetView:
     """
     A node's replica of the configuration.
--- a/tests/budget_fleet.py
+++ b/tests/budget_fleet.py
@@ -19,9 +19,9 @@
 from damasklanding.fleet.resources import BudgetShard
 from damasklanding.fleet.resources import Change
 from damasklanding.fleet.resources import Organisation
+from damasklanding.fleet.shards import budget_shard_of
 from damasklanding.metrics import Metrics
 from damasklanding.node.view import FleetView
-from damasklanding.node.view import budget_shard_of
 from tests.virtual_time import VirtualTime
 
 SHARD = budget_shard_of('acme')
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,6 +1,7 @@
 from collections import Counter
 
 import gevent
+from gevent import socket as gsocket
 import pytest
 
 from bench.relay import Relay
@@ -8,9 +9,11 @@
 from damasklanding.errors import LinkClosed
 from damasklanding.errors import LinkTimeout
 from damasklanding.errors import NotFound
+from damasklanding.handshake import open_handshake
 from damasklanding.link import Identity
 from damasklanding.link import LinkServer
 from damasklanding.link import open_link
+from damasklanding.link import parse_address
 from damasklanding.links import LinkPool
 from damasklanding.wire import BodyChunk
 from damasklanding.wire import Propose
@@ -132,3 +135,18 @@
 
 def never_answer(_exchange, _message):
     gevent.sleep(60)
+
+
+def test_handshake_under_way_at_a_stop_opens_no_link():
+    server = serve({Propose: echo})
+    sock = gsocket.create_connection(parse_address(server.address))
+    gevent.sleep(0.05)
+    server.stop()
+    try:
+        sock.settimeout(2)
+        open_handshake(sock, NODE, SECRET)
+    except (OSError, LinkClosed, Forbidden):
+        pass
+    gevent.sleep(0.05)
+    assert not server.links
+    sock.close()
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -1,4 +1,5 @@
 from collections import Counter
+from math import ceil
 import random
 
 import pytest
@@ -7,9 +8,10 @@
 from damasklanding.fleet.commands import RegisterBackend
 from damasklanding.fleet.resources import Backend
 from damasklanding.fleet.rules import changes_of
+from damasklanding.fleet.shards import BUDGET_SHARDS
 from damasklanding.fleet.shards import SHARD_NAMES
+from damasklanding.fleet.shards import budget_shard_of
 from damasklanding.fleet.state import FleetState
-from damasklanding.node.view import budget_shard_of
 
 
 class Fleet:
@@ -67,13 +69,13 @@
 def test_first_node_owns_all_and_later_ones_take_a_bounded_part():
     fleet = Fleet()
     fleet.register('n1')
-    assert fleet.counts() == {'n1': 64}
+    assert fleet.counts() == {'n1': BUDGET_SHARDS}
     assert len(fleet.register('n2')) == 0
-    assert len(fleet.register('n3')) == 22
+    assert len(fleet.register('n3')) == ceil(BUDGET_SHARDS / 3)
     for number in range(4, 65):
         moved = fleet.register(f'n{number:02d}')
-        assert len(moved) <= 64 / number + 1
-    assert max(fleet.counts().values()) <= 3
+        assert len(moved) <= BUDGET_SHARDS / number + 1
+    assert max(fleet.counts().values()) <= 3 * BUDGET_SHARDS // 64
 
 
 def test_shards_of_a_lost_owner_go_to_the_others_with_the_fewest():
@@ -82,7 +84,10 @@
         fleet.register(name)
     held = [n for n, (owner, _, _) in fleet.owners().items() if owner == 'n1']
     assert sorted(fleet.expire(n1='i1')) == sorted(held)
-    assert fleet.counts() == {'n2': 32, 'n3': 32}
+    assert fleet.counts() == {
+        'n2': BUDGET_SHARDS // 2,
+        'n3': BUDGET_SHARDS // 2,
+    }
 
 
 @pytest.mark.parametrize('change', ['instance', 'state', 'address', 'expiry'])
@@ -110,7 +115,7 @@
 
 
 def test_organisations_map_to_these_shards():
-    names = {budget_shard_of(f'organisation-{n}') for n in range(2_000)}
+    names = {budget_shard_of(f'organisation-{n}') for n in range(20_000)}
     assert names == set(SHARD_NAMES)
 
 
@@ -127,4 +132,4 @@
             backend = fleet.state.get('backend', name)
             instance = backend.instance if backend else 'i0'
             fleet.expire(**{name: instance})
-        assert step < 1 or len(fleet.owners()) in (0, 64)
+        assert step < 1 or len(fleet.owners()) in (0, BUDGET_SHARDS)
