--- a/tests/fakes_admin.py
+++ b/tests/fakes_admin.py
@@ -2,7 +2,6 @@
 
 from contextlib import contextmanager
 
-from gevent.pywsgi import WSGIServer
 import msgspec
 
 from damasklanding.control.admin import admin_app
@@ -15,6 +14,7 @@
 from damasklanding.node.view import FleetView
 from damasklanding.operators import OperatorTokens
 from damasklanding.telemetry import FleetTelemetry
+from damasklanding.wsgi import wsgi_server
 
 TOKENS = 'emi emi-token-0123456789\njun jun-token-0123456789\n'
 
@@ -141,7 +141,7 @@
 
 @contextmanager
 def served(app):
-    server = WSGIServer(('127.0.0.1', 0), app, log=None, error_log=None)
+    server = wsgi_server(('127.0.0.1', 0), app)
     server.start()
     try:
         yield f'127.0.0.1:{server.server_port}'
