Bound a node's links: a subset per service, and none unused

Cause: at the target size a node that sends to every backend server would hold 6,900 links at 12.7 kB and 0.144 ms/s each (measured slopes), 88 MB and a whole core. Change: a node sends to at most 24 backend servers of a service, spread by a hash, half of them near; a link unused for 60 s is closed by its opener. Before: unbounded. After: 72 links for three services, 0.9 MB and 10 ms/s by the same slopes. The bench of slopes gives the node's own share too.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -25,10 +25,16 @@
 from bench.result import print_table
 from damasklanding.fleet import commands
 from damasklanding.fleet import resources
+from damasklanding.link import IN_USE_MS
 from damasklanding.link import Identity
+from damasklanding.link import LinkOptions
 from damasklanding.link import LinkServer
 from damasklanding.link import open_link
 from damasklanding.node.view import FleetView
+from damasklanding.policy.work import LoadReport
+from damasklanding.policy.work import encode_load
+from damasklanding.wire import Accepted
+from damasklanding.wire import StatusRequest
 
 __all__ = ['run']
 
@@ -47,6 +53,7 @@
 RESTARTS_A_DAY = 2_000
 CHANGES_A_RESTART = 3  # draining, gone, registered
 DAY_S = 86_400
+LINKS = 3 * 24  # of a node that sends to three services
 
 
 @dataclass(frozen=True)
@@ -100,13 +107,13 @@
         ['slope', 'unit', 'base', 'per item', 'fit error', 'largest'],
         [fit.row() for fit in fits],
     )
-    print_result(_target(named))
+    print_result(_target(named, _node_rss_mb(options.keep_logs)))
     return 0
 
 
 def _watchers(keep_logs):
     """Measure watchers' heartbeats and changes on three control hosts."""
-    cpu, rss, delivered = [], [], []
+    cpu, rss, delivered, node_cpu = [], [], [], []
     with running_fleet(keep_logs) as fleet:
         fleet.add_control(3)
         addresses = [host.address(PEER_PORT) for host in fleet.control]
@@ -118,17 +125,29 @@
             started = count
             gevent.sleep(SETTLE_S)
             cpu.append(_cpu_ms_per_s(fleet.control))
+            node_cpu.append(_cpu_ms_per_s(fleet.others))
             rss.append(sum(host.rss_mb() for host in fleet.control))
             delivered.append(_change_cpu_ms(fleet))
         bytes_per_s = _bytes_per_watcher(fleet, relay)
     return [
         Fit.through('watch_cpu', 'ms/s', WATCHER_COUNTS, cpu),
         Fit.through('watch_rss', 'MB', WATCHER_COUNTS, rss),
+        Fit.through('watching_cpu', 'ms/s', WATCHER_COUNTS, node_cpu),
         Fit.through('delivery_cpu', 'ms a change', WATCHER_COUNTS, delivered),
         Fit('watch_bytes', 'B/s', 0.0, bytes_per_s, 0.0, 30),
     ]
 
 
+def _node_rss_mb(keep_logs):
+    """Return the memory of a node beside an idle backend server."""
+    with running_fleet(keep_logs) as fleet:
+        fleet.add_control(1)
+        node, _standin = fleet.add_node('dc-a', 'desk')
+        fleet.wait_ready()
+        gevent.sleep(SETTLE_S)
+        return node.rss_mb()
+
+
 def _add_watchers(fleet, addresses, count, prefix):
     if not count:
         return
@@ -232,9 +251,34 @@
     return [
         Fit.through('link_cpu', 'ms/s', LINK_COUNTS, cpu),
         Fit.through('link_rss', 'MB', LINK_COUNTS, rss),
+        Fit('link_bytes', 'B/s', 0.0, _bytes_per_used_link(), 0.0, 1),
     ]
 
 
+def _bytes_per_used_link():
+    """Return the bytes a second of heartbeats on a link in use."""
+    load = encode_load(LoadReport('service', 100, 50, 5, 100.0, 10.0))
+    identity = Identity('a', 'node', 'i')
+    options = LinkOptions(load=lambda: load)
+    handlers = {StatusRequest: _answer_status}
+    server = LinkServer(
+        '127.0.0.1:0', identity, SECRET.encode(), handlers, options
+    )
+    server.start()
+    relay = Relay('127.0.0.1:0', server.address)
+    relay.start()
+    link = open_link(relay.address, identity, SECRET.encode(), options=options)
+    link.request(StatusRequest('g'), 1_000)
+    before = relay.passed_bytes
+    gevent.sleep(IN_USE_MS / 1000)
+    server.stop()
+    return (relay.passed_bytes - before) / (IN_USE_MS / 1000)
+
+
+def _answer_status(_exchange, _message):
+    return Accepted()
+
+
 def _node_state():
     """Measure what a view holds of services, organisations and servers."""
     fits = []
@@ -279,7 +323,7 @@
     return pages * os.sysconf('SC_PAGE_SIZE') / 1e6
 
 
-def _target(fits):
+def _target(fits, node_rss_mb):
     """Return the figures at the target size."""
     watchers = NODES / CONTROL_HOSTS
     changes_per_s = (
@@ -297,11 +341,22 @@
         + NODES * fits['backend_rss'].slope
         + SERVICES * fits['view_service'].slope
     )
+    node_cpu_ms = fits['watching_cpu'].slope + LINKS * fits['link_cpu'].slope
+    node_view_mb = SERVICES * fits['view_service'].slope + LINKS * (
+        fits['view_backend'].slope + fits['link_rss'].slope
+    )
     return {
+        'control_cpu_percent': round(node_cpu_ms / 10, 2),
+        'control_rss_mb': round(node_rss_mb + node_view_mb, 1),
+        'control_kb_s': round(
+            (fits['watch_bytes'].slope + LINKS * fits['link_bytes'].slope)
+            / 1000,
+            2,
+        ),
+        'node_base_rss_mb': round(node_rss_mb, 1),
         'host_cpu_percent': round(host_cpu_ms / 10, 1),
         'host_rss_mb': round(host_rss_mb, 1),
         'host_watchers': round(watchers),
-        'control_kb_s': round(fits['watch_bytes'].slope / 1000, 2),
         'changes_per_s': round(changes_per_s, 3),
         'link_cpu_us_per_s': round(fits['link_cpu'].slope * 1000, 1),
         'link_rss_kb': round(fits['link_rss'].slope * 1000, 1),
--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -56,6 +56,7 @@
 HEARTBEAT_MS = 500  # of a link in use; carries the load reports
 IDLE_HEARTBEAT_MS = 2_000
 IN_USE_MS = 5_000  # after its last exchange began
+UNUSED_LIMIT_MS = 60_000  # after which its opener closes it
 PONG_LIMIT_MS = 700  # a link that is silent for longer after a ping is closed
 READ = 1
 UNACKNOWLEDGED_LIMIT_MS = 2_000
@@ -104,6 +105,7 @@
         self._handlers = handlers
         self._next_number = 1 if opener else 2
         self._parity = self._next_number % 2
+        self._opener = opener
         self._exchanges = {}
         self._backlog = deque()
         self._backlog_bytes = 0
@@ -117,7 +119,7 @@
         self._asked_ms = 0.0
         self._pinged_ms = 0.0
         self._retired = False
-        self._used_ms = 0.0
+        self._used_ms = self._made_ms
         self._ping_seq = 0
         self._delays = _Delays()
         self._reader = None
@@ -405,13 +407,19 @@
         if late_ms > TICK_MS:
             # This process was held up; what came meanwhile is read first.
             self._pinged_ms = 0.0
-        elif self._retired and not self._exchanges:
+        elif self._is_done():
             gevent.spawn(self.close)
         elif self._has_gone_silent():
             gevent.spawn(self._end_silent)
         elif self._ping_is_due() and not self._backlog:
             self._ping_or_close()
 
+    def _is_done(self):
+        if self._exchanges:
+            return False
+        unused_ms = self._now_ms() - self._used_ms
+        return self._retired or (self._opener and unused_ms > UNUSED_LIMIT_MS)
+
     def _end_silent(self):
         if not self.closed.is_set():
             self._options.on_broken(
--- a/damasklanding/node/forward.py
+++ b/damasklanding/node/forward.py
@@ -140,6 +140,7 @@
             and not backend.held_out
             and not self._view.data_centre_out(backend.data_centre)
         ]
+        candidates = self._router.subset(candidates)
         self._candidates[service] = candidates
         return candidates
 
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -7,6 +7,7 @@
 load reports, outstanding calls and outcomes.
 """
 
+from hashlib import blake2b
 from math import exp
 
 from damasklanding.errors import Overloaded
@@ -17,6 +18,7 @@
 __all__ = ['Router']
 
 CHOICES = 2
+MOST_CANDIDATES = 24
 EXPLORE_SHARE = 0.02  # of the choices are made without a comparison
 REPORT_FRESH_MS = 2_000.0
 LATENCY_SHARE = 0.1
@@ -81,6 +83,33 @@
         self._random = random
         self._peers = {}
 
+    def subset(self, backends):
+        """
+        Return the backend servers of a service that this node sends to.
+
+        Bounds the node's links: half of ``MOST_CANDIDATES`` in its own data
+        centre where there are so many, the rest elsewhere, by a hash that
+        spreads the nodes evenly and moves few choices when servers change.
+
+        :param backends: list of
+            :class:`~damasklanding.fleet.resources.Backend`.
+        """
+        if len(backends) <= MOST_CANDIDATES:
+            return backends
+        ranked = sorted(backends, key=self._rank)
+        near = [b for b in ranked if b.data_centre == self._own_data_centre]
+        far = [b for b in ranked if b.data_centre != self._own_data_centre]
+        own = [b for b in near if b.name == self._own_name]
+        others = [b for b in near if b.name != self._own_name]
+        chosen = (own + others)[: MOST_CANDIDATES // 2]
+        chosen += far[: MOST_CANDIDATES - len(chosen)]
+        missing = MOST_CANDIDATES - len(chosen)
+        spare = [b for b in near if b not in chosen]
+        return chosen + spare[:missing]
+
+    def _rank(self, backend):
+        return blake2b(f'{self._own_name}|{backend.name}'.encode()).digest()
+
     def choose(self, candidates, work, excluded=()):
         """
         Return the backend server for a call.
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -130,3 +130,35 @@
             refused += 1
     assert 50 <= refused < 100
     assert sum(chosen(router, 20, importance=2).values()) == 20
+
+
+@pytest.mark.parametrize(
+    'near, far, expected_near',
+    [(10, 10, 10), (40, 40, 12), (4, 40, 4), (40, 4, 20), (0, 60, 0)],
+)
+def test_subset_bounds_the_links_and_prefers_no_one(near, far, expected_near):
+    backends = [
+        backend(f'near-{n}', data_centre='dc-a') for n in range(near)
+    ] + [backend(f'far-{n}', data_centre='dc-b') for n in range(far)]
+    counts = Counter()
+    for number in range(200):
+        name = f'near-{number}'
+        router = Router(name, 'dc-a', lambda: 0.0, random.Random(1))
+        chosen = router.subset(backends)
+        names = [item.name for item in chosen]
+        assert len(set(names)) == len(names) == min(24, near + far)
+        own = [item.name for item in backends if item.name == name]
+        assert set(own) <= set(names)
+        assert len([n for n in names if n[:4] == 'near']) == expected_near
+        counts.update(names)
+    usual = sum(counts.values()) / max(1, near + far)
+    assert min(counts[item.name] for item in backends) > usual / 4
+
+
+def test_subset_moves_few_choices_when_a_server_goes():
+    backends = [backend(f'far-{n}', data_centre='dc-b') for n in range(60)]
+    router = Router('node', 'dc-a', lambda: 0.0, random.Random(1))
+    before = {item.name for item in router.subset(backends)}
+    gone = backends.pop()
+    after = {item.name for item in router.subset(backends)}
+    assert len(before - after) == (gone.name in before)
