Elect within 800 ms and answer operators without delay

Change: election timers of 400 to 800 ms, the no-delay server for admin and operations, handovers bounded by 3 s, one date.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -24,6 +24,7 @@
 
 BEAT_MS = 300
 RETRY_RESERVE = 10
+HANDOVER_TIMEOUT_MS = 3_000
 LEADERLESS_MS = 3_000
 
 
@@ -319,7 +320,7 @@
         """Leave the fleet, let running requests end, then stop."""
         self.registration.leave()
         self.node.drain(drain_timeout_ms)
-        self.owner.drain(drain_timeout_ms)
+        self.owner.drain(min(drain_timeout_ms, HANDOVER_TIMEOUT_MS))
         self.holdings.stop()
         self.registration.withdraw()
         self.watch.stop()
@@ -374,25 +375,21 @@
 
 
 def _admin_server(settings, host, metrics, telemetry):
-    from gevent.pywsgi import WSGIServer
-
     from damasklanding.control.admin import admin_app
     from damasklanding.operators import OperatorTokens
+    from damasklanding.wsgi import wsgi_server
 
     tokens = OperatorTokens(settings.operator_tokens_file)
     app = admin_app(host, tokens, metrics, telemetry)
-    return WSGIServer(
-        parse_address(settings.admin_address), app, log=None, error_log=None
-    )
+    return wsgi_server(parse_address(settings.admin_address), app)
 
 
 def _operations_server(daemon):
-    from gevent.pywsgi import WSGIServer
-
     from damasklanding.operations import operations_app
+    from damasklanding.wsgi import wsgi_server
 
     address = daemon.settings.operations_address
     if not address:
         return None
     app = operations_app(daemon.metrics, daemon.problem, daemon.status)
-    return WSGIServer(parse_address(address), app, log=None, error_log=None)
+    return wsgi_server(parse_address(address), app)
--- a/damasklanding/control/timing.py
+++ b/damasklanding/control/timing.py
@@ -23,8 +23,8 @@
     """
 
     heartbeat_ms: int = 100
-    election_min_ms: int = 600
-    election_max_ms: int = 1_200
+    election_min_ms: int = 400
+    election_max_ms: int = 800
     request_timeout_ms: int = 1_000
     snapshot_timeout_ms: int = 5_000
     snapshot_entries: int = 4_096
--- a/damasklanding/headers.py
+++ b/damasklanding/headers.py
@@ -47,10 +47,12 @@
 #: The headers with our prefix that a caller may send.
 CALLER_HEADERS = frozenset((KEY, DEADLINE_MS))
 
+#: Headers that each connection writes anew, the date of its sender included.
 HOP_BY_HOP = frozenset(
     (
         'connection',
         'content-length',
+        'date',
         'expect',
         'host',
         'keep-alive',
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -2,7 +2,9 @@
 
 from nodes import KEY
 from nodes import Backing
+from nodes import connect
 from nodes import fleet
+from nodes import send_request
 from nodes import two_sites
 import pytest
 
@@ -111,3 +113,13 @@
         refused = book(made.sites['entry'])
         assert (refused.status, refused.outcome) == (503, 'not-run')
         assert book(made.sites['entry']).status == 200
+
+
+def test_answer_has_one_date():
+    dated = (200, b'ok', ('Date', 'Thu, 01 Jan 1970 00:00:00 GMT'))
+    with two_sites(lambda environ: dated) as made:
+        sock = connect(made.sites['entry'].node.callers.bound_address)
+        send_request(sock, '/q')
+        received = sock.recv(65_536).lower()
+        assert received.count(b'\r\ndate: ') == 1
+        assert b'1970' not in received
