--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -30,11 +30,11 @@
 from damasklanding.link import LinkOptions
 from damasklanding.link import LinkServer
 from damasklanding.link import open_link
+from damasklanding.messages import Accepted
+from damasklanding.messages import StatusRequest
 from damasklanding.node.view import FleetView
 from damasklanding.policy.work import LoadReport
 from damasklanding.policy.work import encode_load
-from damasklanding.wire import Accepted
-from damasklanding.wire import StatusRequest
 
 __all__ = ['run']
 
--- a/damasklanding/budget/holdings.py
+++ b/damasklanding/budget/holdings.py
@@ -19,8 +19,8 @@
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import OverRate
 from damasklanding.errors import Unavailable
-from damasklanding.wire import GrantRequest
-from damasklanding.wire import GrantReturn
+from damasklanding.messages import GrantRequest
+from damasklanding.messages import GrantReturn
 
 __all__ = ['Holdings', 'Received']
 
--- a/damasklanding/budget/owner.py
+++ b/damasklanding/budget/owner.py
@@ -22,11 +22,11 @@
 from damasklanding.errors import StaleState
 from damasklanding.errors import Unavailable
 from damasklanding.fleet.shards import budget_shard_of
-from damasklanding.wire import Accepted
-from damasklanding.wire import Grant
-from damasklanding.wire import GrantRequest
-from damasklanding.wire import GrantReturn
-from damasklanding.wire import Handover
+from damasklanding.messages import Accepted
+from damasklanding.messages import Grant
+from damasklanding.messages import GrantRequest
+from damasklanding.messages import GrantReturn
+from damasklanding.messages import Handover
 
 __all__ = ['OWNER_FRESH_MS', 'START_DELAY_MS', 'Owner']
 
--- a/damasklanding/control/client.py
+++ b/damasklanding/control/client.py
@@ -10,7 +10,7 @@
 from damasklanding.clock import monotonic_ms
 from damasklanding.errors import NotLeader
 from damasklanding.errors import Unavailable
-from damasklanding.wire import Propose
+from damasklanding.messages import Propose
 
 __all__ = ['ControlClient']
 
--- a/damasklanding/control/election.py
+++ b/damasklanding/control/election.py
@@ -12,8 +12,8 @@
 from damasklanding.control.journal import Vote
 from damasklanding.control.members import quorum_reached
 from damasklanding.errors import DamasklandingError
-from damasklanding.wire import VoteReply
-from damasklanding.wire import VoteRequest
+from damasklanding.messages import VoteReply
+from damasklanding.messages import VoteRequest
 
 __all__ = ['campaign', 'grant_vote', 'run_elections']
 
--- a/damasklanding/control/follower.py
+++ b/damasklanding/control/follower.py
@@ -6,7 +6,7 @@
 """
 
 from damasklanding.errors import CorruptStore
-from damasklanding.wire import AppendReply
+from damasklanding.messages import AppendReply
 
 __all__ = ['take_entries']
 
--- a/damasklanding/control/founding.py
+++ b/damasklanding/control/founding.py
@@ -16,7 +16,7 @@
 from damasklanding.control.storage import read_file
 from damasklanding.control.storage import write_file
 from damasklanding.errors import DamasklandingError
-from damasklanding.wire import StatusRequest
+from damasklanding.messages import StatusRequest
 
 __all__ = ['choose_incarnation', 'renew_incarnation', 'stored_incarnation']
 
--- a/damasklanding/control/groups.py
+++ b/damasklanding/control/groups.py
@@ -6,11 +6,11 @@
 """
 
 from damasklanding.errors import NotFound
-from damasklanding.wire import AppendRequest
-from damasklanding.wire import Propose
-from damasklanding.wire import SnapshotChunk
-from damasklanding.wire import StatusRequest
-from damasklanding.wire import VoteRequest
+from damasklanding.messages import AppendRequest
+from damasklanding.messages import Propose
+from damasklanding.messages import SnapshotChunk
+from damasklanding.messages import StatusRequest
+from damasklanding.messages import VoteRequest
 
 __all__ = ['group_handlers']
 
--- a/damasklanding/control/journal.py
+++ b/damasklanding/control/journal.py
@@ -24,7 +24,7 @@
 from damasklanding.control.storage import write_file
 from damasklanding.errors import CorruptStore
 from damasklanding.errors import Unavailable
-from damasklanding.wire import LogEntry
+from damasklanding.messages import LogEntry
 
 __all__ = ['Journal', 'Snapshot', 'Vote']
 
--- a/damasklanding/control/leases.py
+++ b/damasklanding/control/leases.py
@@ -17,9 +17,9 @@
 from damasklanding.errors import NotLeader
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import ExpireBackends
-from damasklanding.wire import NO_PROOF_AGE_MS
-from damasklanding.wire import RenewLeases
-from damasklanding.wire import RenewReply
+from damasklanding.messages import NO_PROOF_AGE_MS
+from damasklanding.messages import RenewLeases
+from damasklanding.messages import RenewReply
 
 __all__ = ['LEASE_MS', 'LeaseKeeper']
 
--- a/damasklanding/control/recovery.py
+++ b/damasklanding/control/recovery.py
@@ -17,7 +17,7 @@
 from damasklanding.control.members import encode_members
 from damasklanding.control.storage import locked_folder
 from damasklanding.errors import NotFound
-from damasklanding.wire import LogEntry
+from damasklanding.messages import LogEntry
 
 __all__ = ['continue_alone']
 
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -34,14 +34,14 @@
 from damasklanding.errors import NotLeader
 from damasklanding.errors import TooLarge
 from damasklanding.errors import Unavailable
-from damasklanding.wire import AppendRequest
-from damasklanding.wire import LogEntry
-from damasklanding.wire import Propose
-from damasklanding.wire import ProposeReply
-from damasklanding.wire import SnapshotChunk
-from damasklanding.wire import StatusReply
-from damasklanding.wire import StatusRequest
-from damasklanding.wire import VoteRequest
+from damasklanding.messages import AppendRequest
+from damasklanding.messages import LogEntry
+from damasklanding.messages import Propose
+from damasklanding.messages import ProposeReply
+from damasklanding.messages import SnapshotChunk
+from damasklanding.messages import StatusReply
+from damasklanding.messages import StatusRequest
+from damasklanding.messages import VoteRequest
 
 __all__ = ['Replica']
 
--- a/damasklanding/control/replication.py
+++ b/damasklanding/control/replication.py
@@ -16,7 +16,7 @@
 from damasklanding.control.members import quorum_value
 from damasklanding.control.snapshots import send_snapshot
 from damasklanding.errors import DamasklandingError
-from damasklanding.wire import AppendRequest
+from damasklanding.messages import AppendRequest
 
 __all__ = ['Leadership', 'Progress']
 
--- a/damasklanding/control/snapshots.py
+++ b/damasklanding/control/snapshots.py
@@ -13,8 +13,8 @@
 from damasklanding.control.members import encode_members
 from damasklanding.control.storage import shielded
 from damasklanding.errors import DamasklandingError
-from damasklanding.wire import SnapshotChunk
-from damasklanding.wire import SnapshotReply
+from damasklanding.messages import SnapshotChunk
+from damasklanding.messages import SnapshotReply
 
 __all__ = ['Incoming', 'send_snapshot', 'snapshot_due', 'take_snapshot']
 
--- a/damasklanding/control/watch.py
+++ b/damasklanding/control/watch.py
@@ -15,12 +15,12 @@
 
 from damasklanding.fleet.resources import Change
 from damasklanding.fleet.resources import encode_changes
-from damasklanding.wire import NO_PROOF_AGE_MS
-from damasklanding.wire import Beat
-from damasklanding.wire import BeatReply
-from damasklanding.wire import Watch
-from damasklanding.wire import WatchDelta
-from damasklanding.wire import WatchSnapshot
+from damasklanding.messages import NO_PROOF_AGE_MS
+from damasklanding.messages import Beat
+from damasklanding.messages import BeatReply
+from damasklanding.messages import Watch
+from damasklanding.messages import WatchDelta
+from damasklanding.messages import WatchSnapshot
 
 __all__ = ['Watcher', 'WatcherStatus', 'WatchServer']
 
--- a/damasklanding/exchange.py
+++ b/damasklanding/exchange.py
@@ -14,10 +14,10 @@
 from damasklanding.errors import LinkTimeout
 from damasklanding.errors import Refusal
 from damasklanding.errors import error_from_code
-from damasklanding.wire import BodyChunk
-from damasklanding.wire import Cancel
-from damasklanding.wire import Problem
-from damasklanding.wire import Window
+from damasklanding.messages import BodyChunk
+from damasklanding.messages import Cancel
+from damasklanding.messages import Problem
+from damasklanding.messages import Window
 
 __all__ = [
     'INITIAL_CREDIT_BYTES',
--- a/damasklanding/handshake.py
+++ b/damasklanding/handshake.py
@@ -13,11 +13,11 @@
 
 from damasklanding.errors import Forbidden
 from damasklanding.errors import LinkClosed
-from damasklanding.wire import PROTOCOL_VERSION
-from damasklanding.wire import Challenge
-from damasklanding.wire import Hello
-from damasklanding.wire import Problem
-from damasklanding.wire import Proof
+from damasklanding.messages import PROTOCOL_VERSION
+from damasklanding.messages import Challenge
+from damasklanding.messages import Hello
+from damasklanding.messages import Problem
+from damasklanding.messages import Proof
 from damasklanding.wire import decode_frame
 from damasklanding.wire import encode_frame
 from damasklanding.wire import frame_length
--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -30,9 +30,9 @@
 from damasklanding.handshake import Identity
 from damasklanding.handshake import accept_handshake
 from damasklanding.handshake import open_handshake
-from damasklanding.wire import Cancel
-from damasklanding.wire import Ping
-from damasklanding.wire import Pong
+from damasklanding.messages import Cancel
+from damasklanding.messages import Ping
+from damasklanding.messages import Pong
 from damasklanding.wire import decode_frame
 from damasklanding.wire import encode_frame
 from damasklanding.wire import frame_length
--- a/damasklanding/node/bodies.py
+++ b/damasklanding/node/bodies.py
@@ -10,8 +10,8 @@
 from damasklanding.errors import BadInput
 from damasklanding.errors import LinkTimeout
 from damasklanding.errors import TooLarge
-from damasklanding.wire import BodyChunk
-from damasklanding.wire import Window
+from damasklanding.messages import BodyChunk
+from damasklanding.messages import Window
 
 __all__ = [
     'CHUNK_BYTES',
--- a/damasklanding/node/peers.py
+++ b/damasklanding/node/peers.py
@@ -15,13 +15,13 @@
 from damasklanding.errors import PeerLost
 from damasklanding.errors import UpstreamFailed
 from damasklanding.errors import UpstreamTimeout
+from damasklanding.messages import CallAnswer
+from damasklanding.messages import CallRequest
+from damasklanding.messages import Resume
 from damasklanding.node.answers import NOT_RUN
 from damasklanding.node.answers import Answer
 from damasklanding.node.bodies import receive_parts
 from damasklanding.node.bodies import send_parts
-from damasklanding.wire import CallAnswer
-from damasklanding.wire import CallRequest
-from damasklanding.wire import Resume
 
 __all__ = ['PeerCaller']
 
--- a/damasklanding/node/peerserver.py
+++ b/damasklanding/node/peerserver.py
@@ -14,6 +14,9 @@
 from damasklanding.errors import UpstreamTimeout
 from damasklanding.exchange import ExchangeCancelled
 from damasklanding.exchange import problem_from_error
+from damasklanding.messages import CallAnswer
+from damasklanding.messages import CallRequest
+from damasklanding.messages import Resume
 from damasklanding.node.answers import NOT_RUN
 from damasklanding.node.bodies import Body
 from damasklanding.node.bodies import receive_parts
@@ -22,9 +25,6 @@
 from damasklanding.node.calls import Call
 from damasklanding.node.served import ServedCalls
 from damasklanding.policy.work import encode_load
-from damasklanding.wire import CallAnswer
-from damasklanding.wire import CallRequest
-from damasklanding.wire import Resume
 
 __all__ = ['PeerServer']
 
--- a/damasklanding/node/watch.py
+++ b/damasklanding/node/watch.py
@@ -13,12 +13,12 @@
 from damasklanding.errors import LinkClosed
 from damasklanding.errors import LinkTimeout
 from damasklanding.fleet.resources import decode_changes
-from damasklanding.wire import NO_PROOF_AGE_MS
-from damasklanding.wire import Beat
-from damasklanding.wire import BeatReply
-from damasklanding.wire import Watch
-from damasklanding.wire import WatchDelta
-from damasklanding.wire import WatchSnapshot
+from damasklanding.messages import NO_PROOF_AGE_MS
+from damasklanding.messages import Beat
+from damasklanding.messages import BeatReply
+from damasklanding.messages import Watch
+from damasklanding.messages import WatchDelta
+from damasklanding.messages import WatchSnapshot
 
 __all__ = ['WatchClient']
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -16,8 +16,8 @@
 from damasklanding.clock import monotonic_ms
 from damasklanding.errors import Overloaded
 from damasklanding.errors import Unavailable
+from damasklanding.messages import LogEntry
 from damasklanding.metrics import Metrics
-from damasklanding.wire import LogEntry
 
 RETENTION_MS = 60_000
 BODY = request_fingerprint('POST', '/plans', b'{}')
--- a/tests/test_claims_fuzz.py
+++ b/tests/test_claims_fuzz.py
@@ -14,8 +14,8 @@
 from damasklanding.claims.machine import ClaimMachine
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import Unavailable
+from damasklanding.messages import LogEntry
 from damasklanding.metrics import Metrics
-from damasklanding.wire import LogEntry
 from tests.virtual_time import VirtualTime
 
 EXAMPLES = int(os.environ.get('DAMASKLANDING_FUZZ_EXAMPLES', '30'))
--- a/tests/test_claims_naive.py
+++ b/tests/test_claims_naive.py
@@ -10,7 +10,7 @@
 from damasklanding.claims.commands import decode_reply
 from damasklanding.claims.commands import encode
 from damasklanding.claims.machine import ClaimMachine
-from damasklanding.wire import LogEntry
+from damasklanding.messages import LogEntry
 
 RETENTION_MS = 60_000
 BYTES = st.sampled_from([b'a', b'b', b'c'])
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -23,8 +23,8 @@
 from damasklanding.fleet.resources import Service
 from damasklanding.fleet.resources import decode_changes
 from damasklanding.fleet.resources import encode_changes
+from damasklanding.messages import LogEntry
 from damasklanding.node.view import FleetView
-from damasklanding.wire import LogEntry
 
 DIGEST = 'ab' * 32
 
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -7,8 +7,8 @@
 from damasklanding.budget.owner import START_DELAY_MS
 from damasklanding.errors import OverRate
 from damasklanding.errors import Unavailable
-from damasklanding.wire import GrantRequest
-from damasklanding.wire import GrantReturn
+from damasklanding.messages import GrantRequest
+from damasklanding.messages import GrantReturn
 from tests.budget_fleet import Fleet
 from tests.budget_fleet import worst_excess
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -25,7 +25,7 @@
 from damasklanding.fleet.commands import SetDataCentre
 from damasklanding.fleet.resources import ControlHost as ControlHostResource
 from damasklanding.fleet.resources import Profile
-from damasklanding.wire import StatusRequest
+from damasklanding.messages import StatusRequest
 
 
 def change(fleet, number, client=None):
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,7 +11,7 @@
 from damasklanding.errors import BadSetting
 from damasklanding.errors import CorruptStore
 from damasklanding.errors import Unavailable
-from damasklanding.wire import LogEntry
+from damasklanding.messages import LogEntry
 
 
 def entries(first, count, term=1, size=20):
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -15,10 +15,10 @@
 from damasklanding.link import open_link
 from damasklanding.link import parse_address
 from damasklanding.links import LinkPool
-from damasklanding.wire import BodyChunk
-from damasklanding.wire import Propose
-from damasklanding.wire import ProposeReply
-from damasklanding.wire import StatusRequest
+from damasklanding.messages import BodyChunk
+from damasklanding.messages import Propose
+from damasklanding.messages import ProposeReply
+from damasklanding.messages import StatusRequest
 
 NODE = Identity('node-a', 'node', 'i1')
 HOST = Identity('host-a', 'control', 'i2')
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -22,8 +22,8 @@
 from damasklanding.fleet.resources import Profile
 from damasklanding.link import Identity
 from damasklanding.link import open_link
-from damasklanding.wire import CallAnswer
-from damasklanding.wire import CallRequest
+from damasklanding.messages import CallAnswer
+from damasklanding.messages import CallRequest
 from damasklanding.wire import decode_frame
 from damasklanding.wire import encode_frame
 
