Send a watcher what waits for it as one delta

Cause: the return of a data centre at the target size is 345 registrations at once; at 0.0155 ms for each watcher and change a control host would spend 4.1 s on 767 watchers.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -16,6 +16,7 @@
 from uuid import uuid4
 
 import gevent
+from gevent.pool import Pool
 
 from bench.fleet import PEER_PORT
 from bench.fleet import SECRET
@@ -44,6 +45,8 @@
 MEASURE_S = 6.0
 SETTLE_S = 2.0
 CHANGES = 100
+PROPOSERS = 32
+DATA_CENTRES = 20
 
 #: The users' target.
 NODES = 6_900
@@ -113,7 +116,7 @@
 
 def _watchers(keep_logs):
     """Measure watchers' heartbeats and changes on three control hosts."""
-    cpu, rss, delivered, node_cpu = [], [], [], []
+    cpu, rss, delivered, burst, node_cpu = [], [], [], [], []
     with running_fleet(keep_logs) as fleet:
         fleet.add_control(3)
         addresses = [host.address(PEER_PORT) for host in fleet.control]
@@ -128,12 +131,14 @@
             node_cpu.append(_cpu_ms_per_s(fleet.others))
             rss.append(sum(host.rss_mb() for host in fleet.control))
             delivered.append(_change_cpu_ms(fleet))
+            burst.append(_burst_cpu_ms(fleet, count))
         bytes_per_s = _bytes_per_watcher(fleet, relay)
     return [
         Fit.through('watch_cpu', 'ms/s', WATCHER_COUNTS, cpu),
         Fit.through('watch_rss', 'MB', WATCHER_COUNTS, rss),
         Fit.through('watching_cpu', 'ms/s', WATCHER_COUNTS, node_cpu),
         Fit.through('delivery_cpu', 'ms a change', WATCHER_COUNTS, delivered),
+        Fit.through('burst_cpu', 'ms a change', WATCHER_COUNTS, burst),
         Fit('watch_bytes', 'B/s', 0.0, bytes_per_s, 0.0, 30),
     ]
 
@@ -168,12 +173,33 @@
 
 def _change_cpu_ms(fleet):
     """Return the processor time of one change on all control hosts."""
+
+    def change():
+        for index in range(CHANGES):
+            profile = resources.Profile(name='p', weight=1 + index % 900)
+            fleet.operator.propose(commands.PutProfile(profile=profile))
+
+    return _cpu_ms_of(fleet, change)
+
+
+def _burst_cpu_ms(fleet, count):
+    """Return the same of one of many registrations at once."""
+
+    def register():
+        jobs = Pool(PROPOSERS)
+        for index in range(CHANGES):
+            command = _register(1_000 * count + index)
+            jobs.spawn(fleet.operator.propose, command)
+        jobs.join()
+
+    return _cpu_ms_of(fleet, register)
+
+
+def _cpu_ms_of(fleet, work):
     idle_ms_per_s = _cpu_ms_per_s(fleet.control)
     before_s = sum(host.cpu_s() for host in fleet.control)
     begun_s = time.monotonic()
-    for index in range(CHANGES):
-        profile = resources.Profile(name='p', weight=1 + index % 900)
-        fleet.operator.propose(commands.PutProfile(profile=profile))
+    work()
     gevent.sleep(0.5)
     spent_s = sum(host.cpu_s() for host in fleet.control) - before_s
     idle_ms = idle_ms_per_s * (time.monotonic() - begun_s)
@@ -355,6 +381,13 @@
         ),
         'node_base_rss_mb': round(node_rss_mb, 1),
         'host_cpu_percent': round(host_cpu_ms / 10, 1),
+        'data_centre_return_s': round(
+            NODES
+            / DATA_CENTRES
+            * (fits['burst_cpu'].base / 3 + watchers * fits['burst_cpu'].slope)
+            / 1000,
+            2,
+        ),
         'host_rss_mb': round(host_rss_mb, 1),
         'host_watchers': round(watchers),
         'changes_per_s': round(changes_per_s, 3),
--- a/damasklanding/control/watch.py
+++ b/damasklanding/control/watch.py
@@ -191,13 +191,16 @@
             if delta.revision <= watcher.revision:
                 break
             pending.append(delta)
-        for delta in reversed(pending):
-            watcher.revision = delta.revision
-            watcher.exchange.send(
-                WatchDelta(
-                    delta.term, delta.revision, delta.encoded_for(watcher)
-                )
+        if not pending:
+            return
+        pending.reverse()
+        last = pending[-1]
+        watcher.revision = last.revision
+        watcher.exchange.send(
+            WatchDelta(
+                last.term, last.revision, _encoded_for(watcher, pending)
             )
+        )
 
     def _answer_beat(self, watcher, beat):
         watcher.heard_ms = self._view.now_ms()
@@ -229,10 +232,18 @@
         )
 
 
+def _encoded_for(watcher, deltas):
+    """Return what a watcher gets of consecutive deltas, in one."""
+    if len(deltas) == 1:
+        return deltas[0].encoded_for(watcher)
+    changes = [change for delta in deltas for change in delta.changes]
+    return encode_changes(_narrow(changes, watcher))
+
+
 def _narrow(changes, watcher):
     narrowed = []
     for change in changes:
-        if change.kind == 'backend':
+        if change.kind == 'backend' and not watcher.all_services:
             resource = change.resource()
             if resource is not None and not watcher.wants('backend', resource):
                 # It may have left a service that the watcher does want.
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -166,3 +166,24 @@
     wait_for(lambda: view.state.revision == 3)
     client.stop()
     other.server.stop()
+
+
+def test_deltas_that_wait_are_sent_as_one():
+    source = Source()
+    source.view.apply(1, 1, [put_centre('dc-a')])
+    client, view = follow(source.address, all_services=True)
+    wait_for(lambda: view.state.revision == 1)
+    applied = []
+    view.subscribe(lambda changes: applied.append(len(changes)))
+    for revision in range(2, 32):
+        source.view.apply(
+            1,
+            revision,
+            [Change.put('backend', backend(f'n{revision}', 'orders'))],
+        )
+    wait_for(lambda: view.state.revision == 31)
+    assert len(view.backends('orders')) == 30
+    assert sum(applied) == 30
+    assert len(applied) < 30
+    client.stop()
+    source.server.stop()
