Test the daemon as a process, with each role and with both

Cause: no test started the daemon, so the composition root was covered by benchmarks alone, and both roles in one process had never run.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -74,8 +74,13 @@
         self._network = network
         self._addresses = 0
 
-    def add_control(self, count=3, *data_centres):
-        """Start control hosts that found a fleet, and wait for them."""
+    def add_control(self, count=3, *data_centres, service=''):
+        """
+        Start control hosts that found a fleet, and wait for them.
+
+        :param service: of a backend server beside the first one, which then
+            is a node too.
+        """
         data_centres = data_centres or ('dc-a',)
         ips = [self.next_ip() for _ in range(count)]
         self.control_hosts = ','.join(
@@ -93,10 +98,18 @@
                 'operator-tokens-file': tokens,
                 'bootstrap': 'true',
             }
+            shared = service if index == 0 else ''
+            if shared:
+                options.update(self._node_options(ip, shared))
+                options['roles'] = 'node,control'
             centre = data_centres[index % len(data_centres)]
             process = self._daemon(name, 'control', ip, centre, options)
             self.control.append(process)
             process.start()
+            if shared:
+                process.service = shared
+                self.nodes.append(process)
+                self.add_standin(process, shared)
         addresses = [host.address(PEER_PORT) for host in self.control]
         self.operator = Operator(addresses, SECRET.encode())
         self._wait_control()
@@ -109,23 +122,26 @@
         """
         ip = self.next_ip()
         name = f'node-{len(self.nodes)}'
+        options = {**self._node_options(ip, service), **(options or {})}
+        node = self._daemon(name, 'node', ip, data_centre, options)
+        node.service = service
+        node.start()
+        self.nodes.append(node)
+        if not service:
+            return node, None
+        return node, self.add_standin(node, service, **standin)
+
+    def _node_options(self, ip, service):
         options = {
             'roles': 'node',
             'caller-address': f'{ip}:{CALLER_PORT}',
             'egress-address': f'{ip}:{EGRESS_PORT}',
-            **(options or {}),
         }
         if service:
             options['backend-address'] = self._reached(ip, BACKEND_PORT)
         if self.relay_links:
             options['advertise-address'] = self._reached(ip, PEER_PORT)
-        node = self._daemon(name, 'node', ip, data_centre, options)
-        node.service = service
-        node.start()
-        self.nodes.append(node)
-        if not service:
-            return node, None
-        return node, self.add_standin(node, service, **standin)
+        return options
 
     def add_standin(self, node, service, **fields):
         """Start a stand-in backend server beside a node."""
@@ -173,7 +189,8 @@
         """Stop every process that this fleet started."""
         if self.operator is not None:
             self.operator.close()
-        processes = self.standins + self.others + self.nodes + self.control
+        processes = self.standins + self.others + self.nodes
+        processes += [p for p in self.control if p not in self.nodes]
         for process in processes:
             process.thaw()
             if process.role in ('control', 'node'):
