Split the accepting side from the link

Cause: link.py held 617 lines and two jobs. Change: damasklanding.linkserver accepts links. Before: one module. After: 543 and 93 lines; the tests of links, watch, peers and daemon pass. The link itself is still long.

--- a/bench/control.py
+++ b/bench/control.py
@@ -32,8 +32,8 @@
 from damasklanding.fleet.resources import Organisation
 from damasklanding.fleet.resources import Profile
 from damasklanding.link import Identity
-from damasklanding.link import LinkServer
 from damasklanding.links import LinkPool
+from damasklanding.linkserver import LinkServer
 from damasklanding.settings import Settings
 
 __all__ = ['run']
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -29,8 +29,8 @@
 from damasklanding.link import IN_USE_MS
 from damasklanding.link import Identity
 from damasklanding.link import LinkOptions
-from damasklanding.link import LinkServer
 from damasklanding.link import open_link
+from damasklanding.linkserver import LinkServer
 from damasklanding.messages import Accepted
 from damasklanding.messages import StatusRequest
 from damasklanding.node.view import FleetView
--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -15,9 +15,9 @@
 from damasklanding.clock import monotonic_ms
 from damasklanding.link import Identity
 from damasklanding.link import LinkOptions
-from damasklanding.link import LinkServer
 from damasklanding.link import parse_address
 from damasklanding.links import LinkPool
+from damasklanding.linkserver import LinkServer
 from damasklanding.metrics import Metrics
 
 __all__ = ['Daemon']
--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -15,7 +15,6 @@
 import gevent
 from gevent import socket as gsocket
 from gevent.event import Event
-from gevent.server import StreamServer
 
 from damasklanding.clock import monotonic_ms
 from damasklanding.errors import DamasklandingError
@@ -28,7 +27,6 @@
 from damasklanding.exchange import problem_from_error
 from damasklanding.exchange import withdrawn_error
 from damasklanding.handshake import Identity
-from damasklanding.handshake import accept_handshake
 from damasklanding.handshake import open_handshake
 from damasklanding.messages import Cancel
 from damasklanding.messages import Ping
@@ -43,7 +41,6 @@
     'ExchangeWithdrawn',
     'Identity',
     'Link',
-    'LinkServer',
     'open_link',
     'parse_address',
     'problem_from_error',
@@ -544,74 +541,3 @@
     link = Link(sock, peer, handlers or {}, True, options or LinkOptions())
     link.start()
     return link
-
-
-class LinkServer:
-    """
-    Accepts links on one address.
-
-    :ivar links: set of the open links.
-    :ivar refused: count of connections that failed the handshake.
-    """
-
-    def __init__(self, address, identity, secret, handlers, options=None):
-        self.links = set()
-        self.refused = 0
-        self._stopping = False
-        self._identity = identity
-        self._secret = secret
-        self._handlers = handlers
-        self._options = options or LinkOptions()
-        self._server = StreamServer(parse_address(address), self._accept)
-
-    @property
-    def address(self):
-        """Return the address in use, with the port that was given out."""
-        host, port = self._server.address[:2]
-        return f'{host}:{port}'
-
-    def start(self):
-        """Start to accept links."""
-        self._server.start()
-
-    def stop(self):
-        """Stop accepting and close all links."""
-        self._stopping = True
-        self._server.stop(timeout=0)
-        for link in list(self.links):
-            link.close()
-
-    def stop_accepting(self):
-        """Stop accepting; open links go on."""
-        self._server.close()
-
-    def _accept(self, sock, _address):
-        try:
-            tune_socket(sock)
-            with gevent.Timeout(
-                HANDSHAKE_TIMEOUT_MS / 1000,
-                LinkTimeout('the handshake was not finished'),
-            ):
-                peer = accept_handshake(sock, self._identity, self._secret)
-        except (OSError, DamasklandingError) as error:
-            self.refused += 1
-            self._refuse(sock, error)
-            return
-        if self._stopping:
-            sock.close()
-            return
-        link = Link(sock, peer, self._handlers, False, self._options)
-        self.links.add(link)
-        link.start()
-        try:
-            link.closed.wait()
-        finally:
-            self.links.discard(link)
-
-    def _refuse(self, sock, error):
-        try:
-            if isinstance(error, DamasklandingError):
-                sock.sendall(encode_frame(problem_from_error(error)))
-        except OSError:
-            pass
-        sock.close()
--- /dev/null
+++ b/damasklanding/linkserver.py
@@ -0,0 +1,93 @@
+"""
+damasklanding.linkserver
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Accepts links from other processes that hold the fleet secret.
+"""
+
+import gevent
+from gevent.server import StreamServer
+
+from damasklanding.errors import DamasklandingError
+from damasklanding.errors import LinkTimeout
+from damasklanding.exchange import problem_from_error
+from damasklanding.handshake import accept_handshake
+from damasklanding.link import HANDSHAKE_TIMEOUT_MS
+from damasklanding.link import Link
+from damasklanding.link import LinkOptions
+from damasklanding.link import parse_address
+from damasklanding.link import tune_socket
+from damasklanding.wire import encode_frame
+
+__all__ = ['LinkServer']
+
+
+class LinkServer:
+    """
+    Accepts links on one address.
+
+    :ivar links: set of the open links.
+    :ivar refused: count of connections that failed the handshake.
+    """
+
+    def __init__(self, address, identity, secret, handlers, options=None):
+        self.links = set()
+        self.refused = 0
+        self._stopping = False
+        self._identity = identity
+        self._secret = secret
+        self._handlers = handlers
+        self._options = options or LinkOptions()
+        self._server = StreamServer(parse_address(address), self._accept)
+
+    @property
+    def address(self):
+        """Return the address in use, with the port that was given out."""
+        host, port = self._server.address[:2]
+        return f'{host}:{port}'
+
+    def start(self):
+        """Start to accept links."""
+        self._server.start()
+
+    def stop(self):
+        """Stop accepting and close all links."""
+        self._stopping = True
+        self._server.stop(timeout=0)
+        for link in list(self.links):
+            link.close()
+
+    def stop_accepting(self):
+        """Stop accepting; open links go on."""
+        self._server.close()
+
+    def _accept(self, sock, _address):
+        try:
+            tune_socket(sock)
+            with gevent.Timeout(
+                HANDSHAKE_TIMEOUT_MS / 1000,
+                LinkTimeout('the handshake was not finished'),
+            ):
+                peer = accept_handshake(sock, self._identity, self._secret)
+        except (OSError, DamasklandingError) as error:
+            self.refused += 1
+            self._refuse(sock, error)
+            return
+        if self._stopping:
+            sock.close()
+            return
+        link = Link(sock, peer, self._handlers, False, self._options)
+        self.links.add(link)
+        link.start()
+        try:
+            link.closed.wait()
+        finally:
+            self.links.discard(link)
+
+    def _refuse(self, sock, error):
+        try:
+            if isinstance(error, DamasklandingError):
+                sock.sendall(encode_frame(problem_from_error(error)))
+        except OSError:
+            pass
+        sock.close()
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -19,8 +19,8 @@
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import Outcome
 from damasklanding.link import Identity
-from damasklanding.link import LinkServer
 from damasklanding.links import LinkPool
+from damasklanding.linkserver import LinkServer
 from damasklanding.settings import Settings
 
 SECRET = b'0123456789abcdef'
