Report the seeds of a benchmark in one place

Cause: keys and silent held the same run function line for line. Change: bench.result.report_seeds. Before: two copies of seven lines.

--- a/bench/keys.py
+++ b/bench/keys.py
@@ -20,9 +20,7 @@
 from bench.load import Load
 from bench.load import success_ratio
 from bench.result import Bound
-from bench.result import print_result
-from bench.result import print_table
-from bench.result import summarise
+from bench.result import report_seeds
 from bench.standin import now_ms
 from damasklanding.adminclient import AdminClient
 from damasklanding.adminclient import answered
@@ -52,11 +50,7 @@
 
 def run(options):
     """Run all seeds; returns the exit status."""
-    runs = [_run_seed(seed, options.keep_logs) for seed in options.seed_list()]
-    print_table(list(runs[0]), [list(run.values()) for run in runs])
-    result = summarise(runs, BOUNDS)
-    print_result(result)
-    return 0 if result['bounds_met'] else 1
+    return report_seeds(options, _run_seed, BOUNDS)
 
 
 def _run_seed(seed, keep_logs):
--- a/bench/result.py
+++ b/bench/result.py
@@ -10,7 +10,13 @@
 import operator
 import statistics
 
-__all__ = ['Bound', 'print_result', 'print_table', 'summarise']
+__all__ = [
+    'Bound',
+    'print_result',
+    'print_table',
+    'report_seeds',
+    'summarise',
+]
 
 COMPARE = {'<=': operator.le, '>=': operator.ge, '==': operator.eq}
 
@@ -64,6 +70,21 @@
     return result
 
 
+def report_seeds(options, run_seed, bounds):
+    """
+    Run all seeds, print the table and the last line.
+
+    :param run_seed: takes a seed and whether to keep logs, and returns a
+        dict of figures.
+    :return: the exit status.
+    """
+    runs = [run_seed(seed, options.keep_logs) for seed in options.seed_list()]
+    print_table(list(runs[0]), [list(run.values()) for run in runs])
+    result = summarise(runs, bounds)
+    print_result(result)
+    return 0 if result['bounds_met'] else 1
+
+
 def print_result(result):
     """Print the last line of a benchmark."""
     print('RESULT ' + json.dumps(result))
--- a/bench/silent.py
+++ b/bench/silent.py
@@ -16,9 +16,7 @@
 from bench.load import Load
 from bench.load import success_ratio
 from bench.result import Bound
-from bench.result import print_result
-from bench.result import print_table
-from bench.result import summarise
+from bench.result import report_seeds
 from bench.standin import now_ms
 
 __all__ = ['run']
@@ -35,11 +33,7 @@
 
 def run(options):
     """Run all seeds; returns the exit status."""
-    runs = [_run_seed(seed, options.keep_logs) for seed in options.seed_list()]
-    print_table(list(runs[0]), [list(run.values()) for run in runs])
-    result = summarise(runs, BOUNDS)
-    print_result(result)
-    return 0 if result['bounds_met'] else 1
+    return report_seeds(options, _run_seed, BOUNDS)
 
 
 def _run_seed(seed, keep_logs):
