--- a/damasklanding/budget/holdings.py
+++ b/damasklanding/budget/holdings.py
@@ -94,6 +94,8 @@
         :raises OverRate: above rate and burst; not admitted.
         :raises Unavailable: the budget can't be asked; not admitted.
         """
+        if organisation.unlimited:
+            return
         now_ms = self._now_ms()
         name = organisation.name
         holding = self._holdings.get(name)
--- a/damasklanding/clock.py
+++ b/damasklanding/clock.py
@@ -12,8 +12,13 @@
 
 
 def monotonic_ms():
-    """Return milliseconds on a clock that never steps back."""
-    return time.monotonic() * 1000.0
+    """
+    Return milliseconds on a clock that never steps back.
+
+    It also counts the time during which the host was suspended, so that
+    proofs of freshness and leases age meanwhile.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
 
 
 def wall_ms():
--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -23,9 +23,12 @@
 __all__ = ['Daemon']
 
 BEAT_MS = 300
-RETRY_RESERVE = 10
 HANDOVER_TIMEOUT_MS = 3_000
 LEADERLESS_MS = 3_000
+#: Shares of the time from SIGTERM to SIGKILL: callers are sent away within
+#: two questions a second apart, and the last tenth is for closing.
+LEAVE_SHARE = 0.45
+STOP_SHARE = 0.85
 
 
 class DaemonStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -166,29 +169,40 @@
         self.host = ControlHost(
             settings, daemon.identity, daemon.pool, daemon.metrics
         )
-        claims = self.host.add_group(CLAIMS_GROUP, ClaimMachine())
-        self.ticker = Ticker(
-            claims.propose, lambda: claims.role == 'leader', monotonic_ms
-        )
+        self.services = []
+        if settings.serves_platform:
+            self.services.append(_operator_server(settings, self.host))
+        else:
+            claims = self.host.add_group(CLAIMS_GROUP, ClaimMachine())
+            self.services.append(
+                Ticker(
+                    claims.propose,
+                    lambda: claims.role == 'leader',
+                    monotonic_ms,
+                )
+            )
         self.telemetry = FleetTelemetry()
         self.watch = WatchServer(self.host.view, self.beat)
         self.host.watchers = self.watch.watchers
         daemon.handlers.update(self.host.handlers())
         daemon.handlers.update(self.watch.handlers())
-        self.admin = _admin_server(
-            settings, self.host, daemon.metrics, self.telemetry
-        )
+        if settings.admin_address:
+            self.services.append(
+                _admin_server(
+                    settings, self.host, daemon.metrics, self.telemetry
+                )
+            )
 
     def start(self):
         """Join the other control hosts and serve the API."""
         self.host.start()
-        self.ticker.start()
-        self.admin.start()
+        for service in self.services:
+            service.start()
 
     def stop(self):
         """Hand leadership over and stop."""
-        self.admin.stop(timeout=1)
-        self.ticker.stop()
+        for service in reversed(self.services):
+            service.stop()
         self.host.stop()
 
     def problem(self):
@@ -233,7 +247,8 @@
         identity = daemon.identity
         control = daemon.control
         self.view = control.host.view if control else FleetView()
-        self.gate = build_gate('')
+        self.settings = settings
+        self.gate = build_gate('', build_limiter=self._limiter(settings))
         self.telemetry = NodeTelemetry(self.gate.load, daemon.metrics)
         self._fresh_limit_ms = settings.fresh_limit_ms
         self._encode_load = encode_load
@@ -291,14 +306,21 @@
             daemon.pool,
             self.gate,
             self.router,
-            RetryBudget(reserve=RETRY_RESERVE),
+            RetryBudget(
+                ratio=settings.retry_ratio, reserve=settings.retry_reserve
+            ),
             self.holdings,
             ClaimClient(client, monotonic_ms, daemon.metrics),
             daemon.metrics,
             Pressure(monotonic_ms, random.Random(identity.instance).random),
             on_announce=self.registration.announce,
             want=self.watch.want,
+            dialects=_dialects(settings),
         )
+        self.services = []
+        self.leaving = False
+        if settings.serves_platform:
+            self.services = _platform_servers(self, settings)
         daemon.handlers.update(self.owner.handlers())
         daemon.handlers.update(self.node.handlers())
         if control is None:
@@ -315,17 +337,55 @@
         self.registration.start()
         self.holdings.start()
         self.node.start()
+        for service in self.services:
+            service.start()
 
     def stop(self, drain_timeout_ms):
         """Leave the fleet, let running requests end, then stop."""
+        self.leaving = True
         self.registration.leave()
+        if self.settings.serves_platform:
+            drain_timeout_ms = self._serve_on()
         self.node.drain(drain_timeout_ms)
         self.owner.drain(min(drain_timeout_ms, HANDOVER_TIMEOUT_MS))
         self.holdings.stop()
         self.registration.withdraw()
         self.watch.stop()
+        for service in self.services:
+            service.stop()
         self.node.stop()
 
+    def not_ready(self):
+        """Return why callers should go to other nodes, empty if nothing."""
+        if self.leaving:
+            return 'this node stops'
+        if self.view.configuration() is None:
+            return 'this node has no configuration yet'
+        return ''
+
+    def _serve_on(self):
+        """Serve until callers have gone; return the time left to drain."""
+        grace_ms = self.settings.stop_grace_ms
+        self.node.announce_leaving()
+        gevent.sleep(LEAVE_SHARE * grace_ms / 1000)
+        return STOP_SHARE * grace_ms - LEAVE_SHARE * grace_ms
+
+    def _limiter(self, settings):
+        from damasklanding.policy.announced import AnnouncedLimiter
+        from damasklanding.policy.limiter import Limiter
+
+        if not settings.serves_platform:
+            return Limiter
+
+        def build(now_ms):
+            return AnnouncedLimiter(now_ms, self._cold_rate_per_s)
+
+        return build
+
+    def _cold_rate_per_s(self):
+        service = self.view.state.get('service', self.gate.service)
+        return service.cold_rate_per_s if service is not None else 0.0
+
     def problem(self):
         """Return what keeps the node from serving, empty if nothing."""
         if self.view.age_ms() > self._fresh_limit_ms:
@@ -374,6 +434,44 @@
             gevent.sleep(BEAT_MS / 1000)
 
 
+def _dialects(settings):
+    if not settings.serves_platform:
+        return None
+    from damasklanding.platform.requests import BACKEND_DIALECT
+    from damasklanding.platform.requests import CALLER_DIALECT
+
+    return CALLER_DIALECT, BACKEND_DIALECT
+
+
+def _platform_servers(role, settings):
+    """Return the listeners for announcements and for readiness."""
+    from damasklanding.node.presence import Presence
+    from damasklanding.operations import readiness_app
+    from damasklanding.platform.announcements import announcement_app
+    from damasklanding.wsgi import wsgi_server
+
+    presence = Presence(settings.backend_address, role.node.announce)
+    return [
+        wsgi_server(
+            parse_address(settings.announce_address),
+            announcement_app(presence),
+        ),
+        wsgi_server(
+            parse_address(settings.readiness_address),
+            readiness_app(role.not_ready),
+        ),
+    ]
+
+
+def _operator_server(settings, host):
+    from damasklanding.platform.operators import operator_app
+    from damasklanding.wsgi import wsgi_server
+
+    return wsgi_server(
+        parse_address(settings.operator_address), operator_app(host)
+    )
+
+
 def _admin_server(settings, host, metrics, telemetry):
     from damasklanding.control.admin import admin_app
     from damasklanding.operators import OperatorTokens
--- a/damasklanding/control/client.py
+++ b/damasklanding/control/client.py
@@ -59,6 +59,8 @@
         may_have_run = False
         while True:
             addresses = self._addresses()
+            if not addresses:
+                raise Unavailable('no other control host is known')
             for _ in addresses:
                 left_ms = deadline_ms - self._now_ms()
                 if left_ms <= 0:
--- a/damasklanding/control/configuration.py
+++ b/damasklanding/control/configuration.py
@@ -12,8 +12,10 @@
 import msgspec
 
 from damasklanding.errors import DamasklandingError
+from damasklanding.fleet.commands import ApplyConfiguration
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import Outcome
+from damasklanding.fleet.configurations import AppliedConfigurations
 from damasklanding.fleet.resources import KINDS
 from damasklanding.fleet.resources import Change
 from damasklanding.fleet.rules import changes_of
@@ -50,6 +52,8 @@
     requests: list[tuple[str, bytes]]
     operators: list[tuple[str, str, str]]
     history: list[HistoryEntry]
+    document: bytes = b''
+    digests: list[tuple[str, int]] = []
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -62,6 +66,7 @@
     Applies envelopes to the view's state.
 
     :ivar view: :class:`~damasklanding.node.view.FleetView`.
+    :ivar applied: :class:`AppliedConfigurations`.
     """
 
     def __init__(self, view, metrics=None):
@@ -70,6 +75,7 @@
         self._requests = OrderedDict()
         self._operators = {}
         self._history = deque(maxlen=HISTORY_ENTRIES)
+        self.applied = AppliedConfigurations()
 
     def apply(self, entry):
         """Apply one accepted entry and return the encoded outcome."""
@@ -110,6 +116,8 @@
             list(self._requests.items()),
             operators,
             list(self._history),
+            self.applied.document,
+            self.applied.image(),
         )
         return _encode(image)
 
@@ -121,24 +129,34 @@
             (kind, name): who for kind, name, who in image.operators
         }
         self._history = deque(image.history, maxlen=HISTORY_ENTRIES)
+        self.applied.restore(image.document, image.digests)
         self.view.replace(image.term, image.revision, image.changes)
 
     def _carry_out(self, entry, envelope):
         state = self.view.state
-        kind, name = target_of(envelope.command)
+        command = envelope.command
+        whole = type(command) is ApplyConfiguration
+        if whole:
+            digest = command.configuration.digest
+            revision = self.applied.revision_of(digest)
+            if revision is not None:
+                return Outcome(revision=revision)
+        kind, name = target_of(command)
         known = state.get(kind, name) if kind in KINDS else None
         current = known.revision if known is not None else 0
         expected = envelope.expected_revision
         if expected is not None and expected != current:
             return self._conflict(kind, name, current, expected)
         try:
-            changes = changes_of(state, envelope.command, entry.index)
+            changes = changes_of(state, command, entry.index)
         except DamasklandingError as error:
             return Outcome(
                 revision=current, error=error.code, problem=error.problem
             )
         if not changes:
             return Outcome(revision=current)
+        if whole:
+            self.applied.note(command, entry.index)
         self.view.apply(entry.term, entry.index, changes)
         self._record(entry, envelope, kind, name)
         return Outcome(revision=entry.index)
--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -14,6 +14,7 @@
 
 from damasklanding.clock import monotonic_ms
 from damasklanding.clock import wall_ms
+from damasklanding.control.client import ControlClient
 from damasklanding.control.configuration import ConfigurationMachine
 from damasklanding.control.founding import choose_incarnation
 from damasklanding.control.founding import stored_incarnation
@@ -26,6 +27,7 @@
 from damasklanding.control.replica import Replica
 from damasklanding.control.storage import locked_folder
 from damasklanding.errors import CorruptStore
+from damasklanding.errors import DamasklandingError
 from damasklanding.errors import LinkTimeout
 from damasklanding.errors import Unavailable
 from damasklanding.fleet.changes import put
@@ -33,6 +35,7 @@
 from damasklanding.fleet.commands import Outcome
 from damasklanding.fleet.commands import PutControlHost
 from damasklanding.fleet.resources import ControlHost as ControlHostResource
+from damasklanding.logs import StateLog
 from damasklanding.node.view import FleetView
 
 __all__ = ['ControlHost', 'GroupStatus', 'HostStatus']
@@ -41,7 +44,13 @@
 PROPOSE_TIMEOUT_MS = 5_000
 RETRY_MS = 50
 ANNOUNCE_RETRY_MS = 1_000
+JOIN_RETRY_MS = 250
+JOIN_TIMEOUT_MS = 1_500
 SILENT_LINK_MS = 600
+#: Below the 2 s within which an accepted configuration is read everywhere.
+READ_FRESH_MS = 1_500
+#: Without a word of a leader for so long, a host asks to be taken in.
+UNHEARD_MS = 1_000
 
 _encode = msgspec.msgpack.Encoder().encode
 _decode_outcome = msgspec.msgpack.Decoder(Outcome).decode
@@ -108,6 +117,13 @@
         self._greenlet = None
         self._resources = ExitStack()
         self._resources.enter_context(locked_folder(settings.data_folder))
+        others = [
+            (name, address)
+            for name, address in settings.control_hosts
+            if name != settings.name
+        ]
+        self._client = ControlClient(pool, others, now_ms, self.view)
+        self._joining = StateLog()
         self._machine = ConfigurationMachine(self.view, metrics)
         self.config = self.add_group(CONFIG, self._machine)
         self.leases = LeaseKeeper(self.config, self.view, self._send)
@@ -115,6 +131,8 @@
             self._replicas,
             self.view,
             lambda: self._machine.deleted('control_host'),
+            settings.name,
+            self._propose_command if settings.seed_hosts else None,
         )
 
     def add_group(self, name, machine):
@@ -175,6 +193,16 @@
         data = self._propose(self.config, _encode(envelope), timeout_ms)
         return _decode_outcome(data)
 
+    def current_document(self):
+        """
+        Return the document of the configuration in force, compressed.
+
+        :raises Unavailable: there is none, or this host can't prove that
+            what it has is the latest.
+        """
+        self.view.require_fresh(READ_FRESH_MS)
+        return self._machine.applied.current()
+
     def history(self, limit=100):
         """Return the latest changes by operators, newest first."""
         return self._machine.history(limit)
@@ -189,15 +217,25 @@
             tuple(map(_group_status, self._replicas.values())),
         )
 
+    def _propose_command(self, command):
+        self.propose(
+            Envelope(
+                request_id=f'reconcile-{os.urandom(8).hex()}',
+                operator=self.settings.name,
+                command=command,
+            )
+        )
+
     def _run(self):
         folder = self.settings.data_folder
-        others = {name for name, _ in self.settings.control_hosts}
+        names = {name for name, _ in self.settings.control_hosts}
+        may_found = self.settings.name in names and self.settings.bootstrap
         self.incarnation = stored_incarnation(folder) or choose_incarnation(
             folder,
-            sorted(others - {self.settings.name}),
+            sorted(names - {self.settings.name}),
             list(self._replicas),
             self._send,
-            self.settings.bootstrap,
+            may_found,
         )
         founders = ()
         if self.incarnation == FOUNDING:
@@ -231,19 +269,54 @@
             admin_address=settings.admin_address,
         )
         envelope = Envelope(
-            request_id=f'announce-{os.urandom(8).hex()}',
+            request_id='',
             operator='',
             command=PutControlHost(control_host=host),
         )
+        if self.settings.seed_hosts:
+            self._keep_announced(host, envelope)
+        else:
+            self._announce_once(host, envelope)
+
+    def _announce_once(self, host, envelope):
+        """Announce this host; what an operator removes later stays so."""
         while self.view.age_ms() == float('inf'):
             gevent.sleep(RETRY_MS / 1000)
         while put(self.view.state, 'control_host', host, 0):
             try:
-                self.propose(envelope)
+                self._propose_announcement(envelope, heard=True)
                 return
             except Unavailable:
                 gevent.sleep(ANNOUNCE_RETRY_MS / 1000)
 
+    def _keep_announced(self, host, envelope):
+        """Ask to be taken in whenever the others don't count this host."""
+        unheard_since_ms = self._now_ms()
+        if self.config.membership.get(self.settings.name) is None:
+            unheard_since_ms -= UNHEARD_MS
+        while True:
+            heard = self.view.age_ms() < UNHEARD_MS
+            if heard:
+                unheard_since_ms = self._now_ms()
+            if heard and not put(self.view.state, 'control_host', host, 0):
+                self._joining.note('control host', 'known to the others')
+            elif heard or self._now_ms() - unheard_since_ms > UNHEARD_MS:
+                try:
+                    self._propose_announcement(envelope, heard)
+                except DamasklandingError as error:
+                    self._joining.note('control host', error.code, str(error))
+            gevent.sleep(JOIN_RETRY_MS / 1000)
+
+    def _propose_announcement(self, envelope, heard):
+        """Ask the group to take this host in, through any other host."""
+        envelope = msgspec.structs.replace(
+            envelope, request_id=f'announce-{os.urandom(8).hex()}'
+        )
+        if heard:
+            self.propose(envelope)
+        else:
+            self._client.propose(CONFIG, _encode(envelope), JOIN_TIMEOUT_MS)
+
     def _address(self, name):
         for replica in self._replicas.values():
             member = replica.membership.get(name)
--- a/damasklanding/control/reconcile.py
+++ b/damasklanding/control/reconcile.py
@@ -11,12 +11,16 @@
 from damasklanding.control.members import MemberChange
 from damasklanding.control.members import encode_change
 from damasklanding.errors import DamasklandingError
+from damasklanding.fleet.commands import DeleteResource
 
-__all__ = ['MemberReconciler', 'next_change']
+__all__ = ['MemberReconciler', 'lost_member', 'next_change']
 
 PERIOD_MS = 500
 FRESH_LIMIT_MS = 3_000
 PROPOSE_TIMEOUT_MS = 2_000
+#: Longer than a restart takes, and within the 4 s in which a host that
+#: replaces another is to count.
+LOST_AFTER_MS = 2_500
 
 
 def next_change(members, addresses, removed):
@@ -40,17 +44,46 @@
     return None
 
 
+def lost_member(members, silent_ms, own_name):
+    """
+    Return the name of the voter to remove as lost, None without one.
+
+    With an even number of voters, one that is silent adds nothing to what
+    the group can bear: a newcomer has taken its place.
+
+    :param members: tuple of the group's members.
+    :param silent_ms: function of a member; time since it last answered.
+    """
+    voters = [member for member in members if member.voter]
+    if len(voters) % 2 or len(voters) != len(members):
+        return None
+    silent = [
+        member
+        for member in voters
+        if member.name != own_name and silent_ms(member) > LOST_AFTER_MS
+    ]
+    if not silent:
+        return None
+    return max(silent, key=lambda m: (silent_ms(m), m.name)).name
+
+
 class MemberReconciler:
     """Runs on every control host and acts for the groups led there."""
 
-    def __init__(self, replicas, view, removed):
+    def __init__(self, replicas, view, removed, name='', propose=None):
         """
         Start with :meth:`start`.
 
         :param replicas: dict of group name to replica.
         :param removed: function that returns the names of the control
             hosts that an operator has deleted.
+        :param name: own name.
+        :param propose: function of a command that has it accepted, where
+            hosts that are lost for good are removed without an operator;
+            None elsewhere.
         """
+        self._name = name
+        self._propose = propose
         self._replicas = replicas
         self._view = view
         self._removed = removed
@@ -73,6 +106,23 @@
                 continue
             for replica in self._replicas.values():
                 self._reconcile(replica)
+                self._remove_lost(replica)
+
+    def _remove_lost(self, replica):
+        leadership = replica.leadership
+        if leadership is None or self._propose is None:
+            return
+        name = lost_member(
+            replica.membership.current, leadership.silent_ms, self._name
+        )
+        if name is None:
+            return
+        try:
+            self._propose(DeleteResource(kind='control_host', name=name))
+        except DamasklandingError as error:
+            _log(
+                replica.group, MemberChange('remove', name), f'failed: {error}'
+            )
 
     def _reconcile(self, replica):
         if replica.leadership is None:
--- a/damasklanding/control/replication.py
+++ b/damasklanding/control/replication.py
@@ -173,6 +173,14 @@
         silent_ms = self.replica.now_ms() - self._acknowledged_ms(member)
         return silent_ms < self.replica.timing.election_max_ms
 
+    def silent_ms(self, member):
+        """Return the time since a member last answered this leader."""
+        peer = self.peers.get(member.name)
+        if peer is None:
+            return 0.0
+        heard_ms = max(peer.acknowledged_ms, self.started_ms)
+        return self.replica.now_ms() - heard_ms
+
     def _add(self, name):
         peer = Progress(name, self.first_index)
         self.peers[name] = peer
--- a/damasklanding/fleet/commands.py
+++ b/damasklanding/fleet/commands.py
@@ -9,13 +9,16 @@
 import msgspec
 
 from damasklanding.fleet.resources import Backend
+from damasklanding.fleet.resources import Configuration
 from damasklanding.fleet.resources import ControlHost
+from damasklanding.fleet.resources import HostRoute
 from damasklanding.fleet.resources import Key
 from damasklanding.fleet.resources import Organisation
 from damasklanding.fleet.resources import Profile
 from damasklanding.fleet.resources import Service
 
 __all__ = [
+    'ApplyConfiguration',
     'Command',
     'DeleteResource',
     'Envelope',
@@ -110,6 +113,25 @@
     control_host: ControlHost
 
 
+class ApplyConfiguration(Command, frozen=True, kw_only=True, tag=True):
+    """
+    Replace all profiles, services, organisations and host routes at once.
+
+    :ivar base_version: version that it builds on, 0 for the first.
+    :ivar configuration: its version and digest.
+    :ivar document: the document as it was sent, compressed; it stays on the
+        control hosts.
+    """
+
+    base_version: int
+    configuration: Configuration
+    profiles: list[Profile]
+    services: list[Service]
+    organisations: list[Organisation]
+    host_routes: list[HostRoute]
+    document: bytes
+
+
 class DeleteResource(Command, frozen=True, kw_only=True, tag=True):
     """Remove a profile, service, organisation, data centre or host."""
 
@@ -129,6 +151,7 @@
     | ExpireBackends
     | PutControlHost
     | DeleteResource
+    | ApplyConfiguration
 )
 
 
--- a/damasklanding/fleet/resources.py
+++ b/damasklanding/fleet/resources.py
@@ -17,10 +17,13 @@
     'Backend',
     'BudgetShard',
     'Change',
+    'Configuration',
     'ControlHost',
     'DataCentre',
+    'HostRoute',
     'Key',
     'Organisation',
+    'Part',
     'Profile',
     'Resource',
     'Route',
@@ -95,9 +98,61 @@
 
 
 class Service(Resource, frozen=True, kw_only=True):
-    """A service with its routes."""
+    """
+    A service with its routes.
+
+    :ivar health_path: where its backend servers answer health checks, empty
+        where they don't.
+    :ivar max_connections: connections that one of them takes, 0 if unknown.
+    :ivar cold_rate_per_s: requests a second that one bears after a cold
+        start, 0 if unknown.
+    """
 
     routes: tuple[Route, ...] = ()
+    health_path: str = ''
+    max_connections: Annotated[int, Meta(ge=0)] = 0
+    cold_rate_per_s: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class Part(msgspec.Struct, frozen=True, array_like=True):
+    """The share of a route's requests that goes to one service."""
+
+    service: Name
+    weight: Annotated[float, Meta(ge=0)] = 1.0
+
+
+class HostRoute(Resource, frozen=True, kw_only=True):
+    """
+    A path prefix under a host name, independent of any one service.
+
+    :ivar host: host name in lower case, without a port.
+    :ivar prefix: unique within the host; the longest match wins.
+    :ivar profile: name of the profile that applies.
+    :ivar parts: services that the requests are spread over.
+    :ivar keyless: whether requests come without a key.
+    """
+
+    host: str
+    prefix: str
+    profile: Name
+    parts: tuple[Part, ...]
+    keyless: bool = False
+
+
+class Configuration(Resource, frozen=True, kw_only=True):
+    """
+    The whole configuration that was applied last.
+
+    :ivar version: number that its author gave it.
+    :ivar digest: SHA-256 of the document, hexadecimal.
+    :ivar keyed: whether it names organisations, so that requests need keys.
+    :ivar idle_timeout_ms: time that a caller connection may stay idle.
+    """
+
+    version: int = 0
+    digest: str = ''
+    keyed: bool = False
+    idle_timeout_ms: int = 0
 
 
 class Key(msgspec.Struct, frozen=True, kw_only=True):
@@ -119,11 +174,15 @@
     :ivar rate_per_s: requests a second over all hosts together.
     :ivar burst_requests: bucket size over all hosts together.
     :ivar weight: share of slots under overload.
+    :ivar importance: replaces that of the profile, None to keep it.
+    :ivar unlimited: whether neither rate nor burst binds it.
     """
 
     rate_per_s: Annotated[float, Meta(gt=0, le=10_000_000)]
     burst_requests: Annotated[int, Meta(ge=1, le=100_000_000)]
     weight: Annotated[int, Meta(ge=1, le=1_000)] = 1
+    importance: Annotated[int, Meta(ge=0, le=3)] | None = None
+    unlimited: bool = False
     keys: tuple[Key, ...] = ()
 
 
@@ -193,6 +252,8 @@
     'backend': Backend,
     'budget_shard': BudgetShard,
     'control_host': ControlHost,
+    'host_route': HostRoute,
+    'configuration': Configuration,
 }
 
 
--- a/damasklanding/fleet/rules.py
+++ b/damasklanding/fleet/rules.py
@@ -9,6 +9,7 @@
 from damasklanding.fleet.backends import expire_backends
 from damasklanding.fleet.backends import hold_backend
 from damasklanding.fleet.backends import register_backend
+from damasklanding.fleet.commands import ApplyConfiguration
 from damasklanding.fleet.commands import DeleteResource
 from damasklanding.fleet.commands import ExpireBackends
 from damasklanding.fleet.commands import GrantKey
@@ -20,6 +21,8 @@
 from damasklanding.fleet.commands import RegisterBackend
 from damasklanding.fleet.commands import SetDataCentre
 from damasklanding.fleet.commands import WithdrawKey
+from damasklanding.fleet.configurations import CONFIGURATION
+from damasklanding.fleet.configurations import apply_configuration
 from damasklanding.fleet.controlhosts import delete_control_host
 from damasklanding.fleet.controlhosts import put_control_host
 from damasklanding.fleet.datacentres import delete_data_centre
@@ -72,6 +75,10 @@
         put_control_host,
         lambda c: ('control_host', c.control_host.name),
     ),
+    ApplyConfiguration: (
+        apply_configuration,
+        lambda c: ('configuration', CONFIGURATION),
+    ),
     DeleteResource: (_delete, lambda c: (c.kind, c.name)),
 }
 
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -5,17 +5,21 @@
 Wires the parts of a node's data path and gives them one life cycle.
 """
 
+from dataclasses import replace
 import gc
+from random import Random
 
 import gevent
 import msgspec
 
 from damasklanding.node.calls import CallTable
+from damasklanding.node.dialect import OWN_BACKEND_DIALECT
 from damasklanding.node.egress import Egress
 from damasklanding.node.entry import Entry
 from damasklanding.node.forward import Forwarder
 from damasklanding.node.http import Limits
 from damasklanding.node.http import Listener
+from damasklanding.node.ingress import Ingress
 from damasklanding.node.local import Local
 from damasklanding.node.peers import PeerCaller
 from damasklanding.node.peerserver import PeerServer
@@ -69,6 +73,10 @@
     :param on_announce: called with each
         :class:`~damasklanding.node.registration.Announcement`.
     :param want: function of a service's name, called before its first use.
+    :param dialects: pair of
+        :class:`~damasklanding.node.dialect.CallerDialect` and
+        :class:`~damasklanding.node.dialect.BackendDialect` where callers
+        are routed by host name, None for the product's own interface.
     :ivar service: service of the backend server beside this node.
     """
 
@@ -86,6 +94,7 @@
         pressure,
         on_announce=_nothing,
         want=_nothing,
+        dialects=None,
     ):
         self.service = ''
         self._settings = settings
@@ -95,7 +104,13 @@
         self._metrics = metrics
         now_ms = view.now_ms
         self._table = CallTable()
-        self._upstream = Upstream(settings.backend_address, now_ms)
+        caller_dialect, backend_dialect = dialects or (
+            None,
+            OWN_BACKEND_DIALECT,
+        )
+        self._upstream = Upstream(
+            settings.backend_address, now_ms, backend_dialect
+        )
         self._local = Local(
             settings,
             self._own_service,
@@ -105,6 +120,7 @@
             self._table,
             metrics,
             now_ms,
+            self._lose_backend if dialects else _nothing,
         )
         peers = PeerCaller(pool, now_ms)
         forwarder = Forwarder(
@@ -117,39 +133,60 @@
             retry_budget,
             metrics,
         )
-        entry = Entry(
-            settings,
-            view,
-            forwarder,
-            holdings,
-            claims,
-            pressure,
-            want,
-            metrics,
-        )
-        egress = Egress(
-            settings,
-            view,
-            self._table,
-            forwarder,
-            retry_budget,
-            want,
-            self._announce,
-        )
+        self.egress = None
+        if caller_dialect is not None:
+            entry = Ingress(
+                settings,
+                view,
+                caller_dialect,
+                forwarder,
+                holdings,
+                want,
+                metrics,
+                Random(settings.name),
+            )
+            view.subscribe(self._follow_limits)
+        else:
+            entry = Entry(
+                settings,
+                view,
+                forwarder,
+                holdings,
+                claims,
+                pressure,
+                want,
+                metrics,
+            )
+            egress = Egress(
+                settings,
+                view,
+                self._table,
+                forwarder,
+                retry_budget,
+                want,
+                self.announce,
+            )
+            self.egress = self._listener(
+                'egress', settings.egress_address, egress
+            )
+        self._view = view
         self._peer_server = PeerServer(self._local, gate.load, now_ms)
         self.callers = self._listener('caller', settings.caller_address, entry)
-        self.egress = self._listener('egress', settings.egress_address, egress)
 
     def start(self):
         """Start both listeners."""
         _tune_interpreter()
-        self.egress.start()
-        self.callers.start()
+        for listener in self._listeners():
+            listener.start()
 
     def handlers(self):
         """Return the link handlers of the data path by message class."""
         return self._peer_server.handlers()
 
+    def announce_leaving(self):
+        """Tell callers to close their connections with the next answer."""
+        self.callers.draining = True
+
     def drain(self, timeout_ms):
         """
         Take no new work and let what runs finish.
@@ -171,8 +208,8 @@
 
     def stop(self):
         """Close the listeners and all connections."""
-        self.callers.stop(timeout=0)
-        self.egress.stop(timeout=0)
+        for listener in self._listeners():
+            listener.stop(timeout=0)
         self._upstream.close()
 
     def status(self):
@@ -183,25 +220,28 @@
             running=len(self._table),
             caller_connections=len(self.callers.connections),
             busy_callers=self.callers.busy_count(),
-            busy_egress=self.egress.busy_count(),
+            busy_egress=self.egress.busy_count() if self.egress else 0,
             pooled_connections=self._upstream.idle_count(),
         )
 
     def _busy(self):
-        return (
-            len(self._table)
-            or self.callers.busy_count()
-            or self.egress.busy_count()
+        return len(self._table) or any(
+            listener.busy_count() for listener in self._listeners()
         )
 
+    def _listeners(self):
+        return [part for part in (self.egress, self.callers) if part]
+
     def _own_service(self):
         return self.service
 
-    def _announce(self, announcement):
+    def announce(self, announcement):
+        """Take an announcement of the backend server beside this node."""
         if announcement != self._announced:
             self._announced = announcement
             self.service = announcement.service
             self._gate.service = announcement.service
+            self._upstream.turn_to(announcement.instance)
             self._follow(announcement)
         self._on_announce(announcement)
 
@@ -212,7 +252,23 @@
             self._gate.drain()
             return
         self._gate.resume()
-        self._gate.announce(announcement.cold, announcement.slots)
+        self._gate.announce(
+            announcement.cold, announcement.slots, announcement.cold_for_ms
+        )
+
+    def _lose_backend(self):
+        """Take no new work for the backend server until it is announced."""
+        self._gate.drain()
+
+    def _follow_limits(self, changes):
+        if not any(change.kind == 'configuration' for change in changes):
+            return
+        configuration = self._view.configuration()
+        if configuration is not None and configuration.idle_timeout_ms:
+            self.callers.limits = replace(
+                self.callers.limits,
+                idle_timeout_ms=configuration.idle_timeout_ms,
+            )
 
     def _listener(self, name, address, part):
         settings = self._settings
--- a/damasklanding/node/forward.py
+++ b/damasklanding/node/forward.py
@@ -18,8 +18,8 @@
 from damasklanding.errors import UpstreamTimeout
 from damasklanding.node.answers import NOT_RUN
 from damasklanding.node.answers import UNKNOWN
+from damasklanding.node.dialect import SHED_STATUSES
 from damasklanding.node.local import work_of
-from damasklanding.node.upstream import SHED_STATUSES
 from damasklanding.policy.retry import MAX_REROUTES
 from damasklanding.policy.retry import Attempt
 from damasklanding.policy.retry import Outcome
--- /dev/null
+++ b/damasklanding/node/ingress.py
@@ -0,0 +1,208 @@
+"""
+damasklanding.node.ingress
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Requests of the callers and of the backend server on this host, routed by
+host name and path: key, rate, route, and the answer.
+"""
+
+from contextlib import contextmanager
+
+from damasklanding.errors import BadInput
+from damasklanding.errors import DamasklandingError
+from damasklanding.errors import DeadlineExceeded
+from damasklanding.errors import KeyRefused
+from damasklanding.errors import Unavailable
+from damasklanding.errors import UpstreamFailed
+from damasklanding.node.answers import NOT_RUN
+from damasklanding.node.answers import RAN
+from damasklanding.node.answers import streamed
+from damasklanding.node.bodies import body_from_request
+from damasklanding.node.calls import Allowance
+from damasklanding.node.calls import Call
+from damasklanding.node.http import status_line
+from damasklanding.node.view import key_digest
+from damasklanding.policy.split import choose_part
+
+__all__ = ['Ingress']
+
+NO_CONFIGURATION_RETRY_MS = 200
+
+
+class Ingress:
+    """
+    The application behind a host's outbound listener.
+
+    :param dialect: :class:`~damasklanding.node.dialect.CallerDialect`.
+    :param forwarder: :class:`~damasklanding.node.forward.Forwarder`.
+    :param holdings: :class:`~damasklanding.budget.holdings.Holdings`.
+    :param want: function that makes a service's backend servers known.
+    :param random: :class:`random.Random`.
+    """
+
+    def __init__(
+        self,
+        settings,
+        view,
+        dialect,
+        forwarder,
+        holdings,
+        want,
+        metrics,
+        random,
+    ):
+        self._settings = settings
+        self._view = view
+        self._dialect = dialect
+        self._forwarder = forwarder
+        self._holdings = holdings
+        self._want = want
+        self._metrics = metrics
+        self._random = random
+        self._now_ms = view.now_ms
+        self._wanted = set()
+
+    def application(self, environ, start_response):
+        """Answer one request; a WSGI application."""
+        request = environ['damasklanding.request']
+        passage = _Passage()
+        try:
+            answer = _trusted(self._answer(request, passage))
+            reason = 'ok' if answer.status < 500 else 'failed'
+        except DamasklandingError as error:
+            if passage.call is None or passage.call.untouched():
+                error.outcome = NOT_RUN
+            answer = self._dialect.refusal(error)
+            reason = error.code
+        self._metrics.add(
+            'requests_total',
+            passage.service,
+            passage.profile,
+            passage.organisation,
+            answer.outcome,
+            reason,
+        )
+        start_response(status_line(answer.status), self._dialect.pairs(answer))
+        if answer.parts is None:
+            return (answer.body,)
+        return streamed(answer)
+
+    def _answer(self, request, passage):
+        configuration = self._view.configuration()
+        if configuration is None:
+            raise Unavailable(
+                'this node has no configuration yet',
+                retry_after_ms=NO_CONFIGURATION_RETRY_MS,
+            )
+        head = self._dialect.read(request)
+        route = self._view.host_route(head.host, request.path)
+        self._view.require_fresh(self._settings.fresh_limit_ms)
+        profile = self._view.state.get('profile', route.profile)
+        passage.profile = profile.name
+        organisation = None
+        if configuration.keyed and not route.keyless:
+            organisation = self._authenticate(head)
+            passage.organisation = organisation.name
+        part = choose_part(route.parts, self._random.random())
+        passage.service = part.service
+        call = self._call(request, head, passage, profile, organisation)
+        call.body = body_from_request(request, self._settings.max_body_bytes)
+        passage.call = call
+        with self._followed(call, request):
+            self._take(call, organisation, profile)
+            self._make_known(call.service)
+            return self._forwarder.forward(call)
+
+    def _authenticate(self, head):
+        if head.key is None:
+            raise KeyRefused('the request has no key')
+        organisation = self._view.organisation_of(key_digest(head.key))
+        if organisation is None:
+            raise KeyRefused('the key is unknown or was withdrawn')
+        return organisation
+
+    def _call(self, request, head, passage, profile, organisation):
+        if not head.request_id:
+            raise BadInput('the request has no id', 'send one with each try')
+        timeout_ms = profile.timeout_ms
+        if head.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, head.deadline_ms)
+        importance = profile.importance
+        if organisation is not None and organisation.importance is not None:
+            importance = organisation.importance
+        return Call(
+            request_id=head.request_id,
+            service=passage.service,
+            profile=profile.name,
+            organisation=passage.organisation,
+            importance=importance,
+            deadline_at_ms=self._now_ms() + timeout_ms,
+            allowance=Allowance(profile.retries),
+            depth=0,
+            method=request.method,
+            target=request.target,
+            headers=self._dialect.forwarded(
+                request, passage.organisation, self._settings.backend_service
+            ),
+            body=None,
+            idempotent=profile.idempotent,
+        )
+
+    def _take(self, call, organisation, profile):
+        left_ms = call.deadline_at_ms - self._now_ms()
+        if left_ms <= 0:
+            raise DeadlineExceeded('the request brought no time')
+        if organisation is not None:
+            wait_ms = min(profile.longest_wait_ms, int(left_ms))
+            self._holdings.take(organisation, wait_ms)
+
+    def _make_known(self, service):
+        if service not in self._wanted:
+            self._want(service)
+            self._wanted.add(service)
+
+    @contextmanager
+    def _followed(self, call, request):
+        """Cancel a call when its caller hangs up."""
+        with request.hangup.watching(call.body, _always):
+            yield
+
+
+class _Passage:
+    """What is known of a request so far."""
+
+    __slots__ = ('call', 'organisation', 'profile', 'service')
+
+    def __init__(self):
+        self.call = None
+        self.organisation = ''
+        self.profile = ''
+        self.service = ''
+
+
+def _always():
+    return True
+
+
+def _trusted(answer):
+    """
+    Return an answer of a backend server that may go back as it is.
+
+    :raises Unavailable: it states that the request has not run.
+    :raises UpstreamFailed: whether it has run is not known.
+    """
+    if answer.outcome == RAN:
+        return answer
+    answer.close()
+    if answer.outcome == NOT_RUN:
+        raise _not_run(answer)
+    raise UpstreamFailed('the attempts left open whether the request has run')
+
+
+def _not_run(answer):
+    error = Unavailable(
+        'the backend servers that were tried took no more requests',
+        retry_after_ms=answer.retry_after_ms or None,
+    )
+    error.outcome = NOT_RUN
+    return error
--- a/damasklanding/node/local.py
+++ b/damasklanding/node/local.py
@@ -17,7 +17,7 @@
 from damasklanding.errors import UpstreamFailed
 from damasklanding.errors import UpstreamTimeout
 from damasklanding.node.answers import NOT_RUN
-from damasklanding.node.upstream import SHED_STATUSES
+from damasklanding.node.dialect import SHED_STATUSES
 from damasklanding.policy.work import Result
 from damasklanding.policy.work import Work
 
@@ -54,6 +54,10 @@
     )
 
 
+def _nothing():
+    return None
+
+
 class Local:
     """
     The backend server beside this node.
@@ -62,11 +66,21 @@
     :param gate: :class:`~damasklanding.policy.gate.Gate`.
     :param upstream: :class:`~damasklanding.node.upstream.Upstream`.
     :param table: :class:`~damasklanding.node.calls.CallTable`.
+    :param on_unreachable: called when it takes no connection.
     :ivar draining: whether new work is refused.
     """
 
     def __init__(
-        self, settings, service, view, gate, upstream, table, metrics, now_ms
+        self,
+        settings,
+        service,
+        view,
+        gate,
+        upstream,
+        table,
+        metrics,
+        now_ms,
+        on_unreachable=_nothing,
     ):
         self.draining = False
         self._settings = settings
@@ -77,6 +91,7 @@
         self._table = table
         self._metrics = metrics
         self._now_ms = now_ms
+        self._on_unreachable = on_unreachable
 
     def serve(self, call):
         """
@@ -109,7 +124,7 @@
         return answer
 
     def _check(self, call):
-        if self.draining:
+        if self.draining or self._gate.draining:
             raise Draining('this node takes no new work')
         if call.service != self._service():
             raise Draining(f'no backend server of {call.service} is here')
@@ -124,6 +139,8 @@
             answer = self._upstream.call(call, running.token)
         except DamasklandingError as error:
             slot.finish(_result_of_error(error))
+            if type(error) is Unavailable:
+                self._on_unreachable()
             if not call.handed:
                 error.outcome = NOT_RUN
             raise
--- a/damasklanding/node/registration.py
+++ b/damasklanding/node/registration.py
@@ -33,12 +33,17 @@
     :ivar state: ``in`` or ``draining``.
     :ivar cold: whether it bears only a little load now.
     :ivar slots: its concurrency, 0 where it does not say.
+    :ivar instance: id of its present start, empty where it does not say.
+    :ivar cold_for_ms: how much longer it stays cold, 0 where it does not
+        say.
     """
 
     service: str
     state: str = 'in'
     cold: bool = False
     slots: int = 0
+    instance: str = ''
+    cold_for_ms: int = 0
 
 
 class Registration:
--- a/damasklanding/node/reply.py
+++ b/damasklanding/node/reply.py
@@ -38,13 +38,14 @@
     """
     An answer on a connection that may carry more of them.
 
+    :param until_close: whether a body may end with its connection.
     :ivar flat_headers: names in lower case and values, alternating.
     :ivar named: values by name.
     :ivar buffered: bytes that the reader held behind the head, None where
         that is not known.
     """
 
-    def __init__(self, reader, method):
+    def __init__(self, reader, method, until_close=False):
         # The parent would open a reader of its own for each answer.
         self.fp = reader
         self.debuglevel = 0
@@ -58,6 +59,7 @@
         self.flat_headers = []
         self.named = {}
         self.buffered = None
+        self._until_close = until_close
 
     def begin(self):
         """
@@ -128,6 +130,8 @@
             self.chunked = True
         elif length is not None and _DIGITS(length):
             self.length = int(length)
+        elif length is None and self._until_close:
+            self.will_close = True
         else:
             raise ReplyMalformed('the body has no length')
 
--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -21,20 +21,13 @@
 from damasklanding.errors import Unavailable
 from damasklanding.errors import UpstreamFailed
 from damasklanding.errors import UpstreamTimeout
-from damasklanding.headers import CONTEXT
-from damasklanding.headers import DEADLINE_MS
-from damasklanding.headers import IMPORTANCE
-from damasklanding.headers import ORGANISATION
-from damasklanding.headers import OUTCOME
-from damasklanding.headers import REQUEST_ID
 from damasklanding.link import parse_address
 from damasklanding.node.answers import NOT_RUN
-from damasklanding.node.answers import RAN
 from damasklanding.node.answers import UNKNOWN
 from damasklanding.node.answers import Answer
-from damasklanding.node.answers import end_to_end
 from damasklanding.node.bodies import CHUNK_BYTES
 from damasklanding.node.bodies import INLINE_BYTES
+from damasklanding.node.dialect import OWN_BACKEND_DIALECT
 from damasklanding.node.http import send_all
 from damasklanding.node.reply import Reply
 from damasklanding.policy.retry import RetryBudget
@@ -44,14 +37,13 @@
 CONNECT_TIMEOUT_MS = 1_000
 TRUST_IDLE_MS = 100  # a longer idle one carries no non-idempotent request
 MAX_IDLE_MS = 10_000
-MAX_IDLE_CONNECTIONS = 64
+MAX_IDLE_CONNECTIONS = 256
 MIN_PATIENCE_MS = 300
 PATIENCE_FACTOR = 5
 SMOOTHING = 0.1
 RESEND_RATIO = 0.02
 RESEND_RESERVE = 10
-SHED_STATUSES = frozenset((429, 503))
-UNSURE_STATUSES = frozenset((502, 503, 504))
+MOST_STRAY_ANSWERS = 4  # to earlier requests, before a connection is left
 
 
 class _Silence(Exception):
@@ -108,10 +100,16 @@
     Sends calls to one backend server.
 
     :param address: ``ip:port``, empty where there is none.
+    :param dialect: :class:`~damasklanding.node.dialect.BackendDialect`.
+    :ivar instance: id of the backend server's present start.
     """
 
-    def __init__(self, address, now_ms=monotonic_ms):
+    def __init__(
+        self, address, now_ms=monotonic_ms, dialect=OWN_BACKEND_DIALECT
+    ):
         self.address = address
+        self.instance = ''
+        self._dialect = dialect
         self._host, self._port = parse_address(address or ':0')
         self._now_ms = now_ms
         self._idle = deque()
@@ -123,6 +121,12 @@
         """Return the number of pooled connections."""
         return len(self._idle)
 
+    def turn_to(self, instance):
+        """Send to another start of the backend server from now on."""
+        if instance != self.instance:
+            self.instance = instance
+            self.close()
+
     def close(self):
         """Close the pooled connections."""
         while self._idle:
@@ -204,8 +208,7 @@
             self._send(connection, call, head)
             self._await_answer(connection, call, sent_ms, may_repeat)
             self._note_time(self._now_ms() - sent_ms)
-            reply = Reply(connection.reader, call.method)
-            reply.begin()
+            reply = self._own_reply(connection, call)
             return self._answer(connection, call, reply)
         except TimeoutError as error:
             raise UpstreamTimeout(
@@ -216,6 +219,19 @@
         finally:
             timer.close()
 
+    def _own_reply(self, connection, call):
+        """Return the reply to a call; ones to earlier calls are dropped."""
+        for _ in range(MOST_STRAY_ANSWERS):
+            reply = Reply(
+                connection.reader, call.method, self._dialect.until_close
+            )
+            reply.begin()
+            if self._dialect.belongs(reply, call):
+                return reply
+            while reply.read(CHUNK_BYTES):
+                pass
+        raise _broken('only answers to other requests came')
+
     def _await_answer(self, connection, call, sent_ms, may_repeat):
         patience_ms = self._patience_ms()
         if patience_ms == float('inf'):
@@ -258,13 +274,15 @@
         return left_ms / 1000
 
     def _answer(self, connection, call, reply):
-        answer = Answer(reply.status, end_to_end(reply.flat_headers))
-        _judge(answer, reply)
+        answer = Answer(reply.status, self._dialect.headers(reply))
+        self._dialect.judge(answer, reply, call)
         first = b''
         connection.emptied = False
         if reply.length is None:
             first = reply.read(INLINE_BYTES + 1)
-            whole = reply.isclosed()
+            whole = reply.isclosed() or (
+                not reply.chunked and len(first) <= INLINE_BYTES
+            )
         else:
             whole = reply.length <= INLINE_BYTES
             connection.emptied = reply.buffered == reply.length
@@ -313,17 +331,9 @@
 
     def _head(self, call, token):
         left_ms = int(call.deadline_at_ms - self._now_ms())
-        lines = [
-            f'{call.method} {call.target} HTTP/1.1\r\nhost: {self.address}',
-            f'{CONTEXT}: {token}',
-            f'{ORGANISATION}: {call.organisation}',
-            f'{REQUEST_ID}: {call.request_id}',
-            f'{DEADLINE_MS}: {max(left_ms, 0)}',
-            f'{IMPORTANCE}: {call.importance}',
-        ]
-        headers = call.headers
-        for index in range(0, len(headers), 2):
-            lines.append(f'{headers[index]}: {headers[index + 1]}')
+        lines = self._dialect.head(
+            call, token, self.address, self.instance, max(left_ms, 0)
+        )
         length = call.body.length
         if length is None:
             lines.append('transfer-encoding: chunked')
@@ -383,21 +393,3 @@
     error = UpstreamFailed(f'the backend server broke off ({cause})')
     error.silent = getattr(cause, 'silent', isinstance(cause, OSError))
     return error
-
-
-def _judge(answer, reply):
-    """Set the outcome that an answer of the backend server states."""
-    status = answer.status
-    stated = reply.named.get(OUTCOME)
-    if status < 500 and status != 429:
-        return
-    if stated == NOT_RUN and status in SHED_STATUSES:
-        answer.outcome = NOT_RUN
-    elif stated in (RAN, UNKNOWN):
-        answer.outcome = stated
-    elif status in UNSURE_STATUSES:
-        answer.outcome = UNKNOWN
-    answer.may_retry = status >= 500 or answer.outcome == NOT_RUN
-    retry_after = reply.named.get('retry-after', '')
-    if retry_after.isdigit() and len(retry_after) < 6:
-        answer.retry_after_ms = int(retry_after) * 1000
--- a/damasklanding/node/view.py
+++ b/damasklanding/node/view.py
@@ -13,6 +13,7 @@
 from damasklanding.errors import KeyRefused
 from damasklanding.errors import NotFound
 from damasklanding.errors import StaleState
+from damasklanding.fleet.configurations import CONFIGURATION
 from damasklanding.fleet.state import FleetState
 
 __all__ = ['FleetView', 'key_digest']
@@ -37,6 +38,7 @@
         self._confirmed_at_ms = None
         self._listeners = []
         self._routes = []
+        self._host_routes = {}
         self._keys = {}
         self._backends = {}
 
@@ -108,6 +110,22 @@
             return service, route, profile
         raise NotFound(f'no route for {method} {path}')
 
+    def configuration(self):
+        """Return the whole configuration in force, None without one."""
+        return self.state.get('configuration', CONFIGURATION)
+
+    def host_route(self, host, path):
+        """
+        Find the route of a request by its host name and path.
+
+        :return: :class:`~damasklanding.fleet.resources.HostRoute`.
+        :raises NotFound: no route.
+        """
+        for route in self._host_routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        raise NotFound(f'no route for {host} {path}')
+
     def organisation(self, key):
         """
         Return the organisation that a key was granted to.
@@ -144,6 +162,8 @@
         kinds = {change.kind for change in changes}
         if 'service' in kinds:
             self._index_routes()
+        if 'host_route' in kinds:
+            self._index_host_routes()
         if 'organisation' in kinds:
             self._index_keys()
         if 'backend' in kinds:
@@ -161,6 +181,14 @@
             routes, key=lambda item: len(item[0]), reverse=True
         )
 
+    def _index_host_routes(self):
+        routes = {}
+        for route in self.state.all('host_route').values():
+            routes.setdefault(route.host, []).append(route)
+        for some in routes.values():
+            some.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._host_routes = routes
+
     def _index_keys(self):
         self._keys = {
             key.digest: (organisation.name, key.digest)
--- a/damasklanding/operations.py
+++ b/damasklanding/operations.py
@@ -10,7 +10,7 @@
 
 from damasklanding.errors import DamasklandingError
 
-__all__ = ['operations_app']
+__all__ = ['operations_app', 'readiness_app']
 
 JSON_TYPE = 'application/json'
 METHODS = ('GET', 'HEAD')
@@ -71,6 +71,27 @@
     return app
 
 
+def readiness_app(not_ready):
+    """
+    Return a WSGI application that says whether work may be sent here.
+
+    :param not_ready: returns why not as text, empty where it may.
+    """
+
+    def app(_environ, start_response):
+        problem = not_ready()
+        code = '503 Service Unavailable' if problem else '200 OK'
+        body = _json(Health(not problem, problem))
+        headers = [
+            ('Content-Type', JSON_TYPE),
+            ('Content-Length', str(len(body))),
+        ]
+        start_response(code, headers)
+        return [body]
+
+    return app
+
+
 def _answer(paths, environ):
     show = paths.get(environ.get('PATH_INFO'))
     if show is None:
--- a/damasklanding/options.py
+++ b/damasklanding/options.py
@@ -17,6 +17,7 @@
     'SECRET_REMEDY',
     'control_host_list',
     'is_loopback',
+    'parse_duration_ms',
     'option_of',
     'read_secret',
     'split_address',
@@ -25,6 +26,7 @@
 ENVIRONMENT_PREFIX = 'DAMASKLANDING_'
 MAX_PORT = 65_535
 MIN_SECRET_BYTES = 16
+INTERFACES = ('own', 'platform')
 NAME = re.compile(r'^[a-z0-9][a-z0-9._-]{0,62}$')
 
 
@@ -106,6 +108,53 @@
     return tuple(pairs)
 
 
+def _seeds(text):
+    """Parse ``ip:port,ip:port`` to a tuple of addresses."""
+    return tuple(_address(part.strip()) for part in text.split(','))
+
+
+_UNITS_MS = {'ms': 1, 's': 1_000}
+_DURATION = re.compile(r'([0-9]+(?:\.[0-9]+)?)(ms|s)').fullmatch
+
+
+def parse_duration_ms(text):
+    """
+    Return the milliseconds of a text such as ``1500ms`` or ``2.5s``.
+
+    :raises ValueError: it is no number with one of these units.
+    """
+    found = _DURATION(text)
+    if found is None:
+        raise ValueError('not a number with the unit ms or s')
+    return float(found[1]) * _UNITS_MS[found[2]]
+
+
+def _duration_ms(low, high):
+    def parse(text):
+        value = round(parse_duration_ms(text))
+        if not low <= value <= high:
+            raise ValueError(f'not within {low} ms to {high} ms')
+        return value
+
+    return parse
+
+
+def _fraction(low, high):
+    def parse(text):
+        value = float(text)
+        if not low <= value <= high:
+            raise ValueError(f'not within {low} to {high}')
+        return value
+
+    return parse
+
+
+def _interface(text):
+    if text not in INTERFACES:
+        raise ValueError(f'none of {", ".join(INTERFACES)}')
+    return text
+
+
 def _whole(low, high):
     def parse(text):
         value = int(text)
@@ -305,6 +354,74 @@
         'give 100 to 3600000',
         'MS',
     ),
+    Option(
+        'interface',
+        'What callers, backend servers and operators speak: own or platform.',
+        _interface,
+        'give own or platform',
+        'NAME',
+    ),
+    Option(
+        'seed_hosts',
+        'Some control hosts, by any of their addresses; replaces '
+        '--control-hosts where no list of all is known.',
+        _seeds,
+        'give addresses such as 10.1.0.2:8540, split by commas',
+        'ADDRESSES',
+    ),
+    Option(
+        'announce_address',
+        'Listener for the announcements of the backend server beside this '
+        'node (platform interface).',
+        _address,
+        _ADDRESS_REMEDY,
+        'IP:PORT',
+    ),
+    Option(
+        'readiness_address',
+        'Listener for the questions whether this node is ready (platform '
+        'interface).',
+        _address,
+        _ADDRESS_REMEDY,
+        'IP:PORT',
+    ),
+    Option(
+        'operator_address',
+        'Listener for whole configurations and evacuations (platform '
+        'interface, control).',
+        _address,
+        _ADDRESS_REMEDY,
+        'IP:PORT',
+    ),
+    Option(
+        'backend_service',
+        'Service of the backend server beside this node; callers and the '
+        'backend server call in its name (platform interface).',
+        _name,
+        _NAME_REMEDY,
+        'NAME',
+    ),
+    Option(
+        'retry_ratio',
+        'Second sends a request that all nodes together may make.',
+        _fraction(0, 1),
+        'give a share from 0 to 1',
+        'SHARE',
+    ),
+    Option(
+        'retry_reserve',
+        'Second sends that one node may make before any request.',
+        _whole(0, 1_000),
+        'give 0 to 1000',
+        'COUNT',
+    ),
+    Option(
+        'stop_grace_ms',
+        'Time from SIGTERM to SIGKILL, with its unit (platform interface).',
+        _duration_ms(500, 600_000),
+        'give a time such as 6s',
+        'DURATION',
+    ),
     Option(
         'log_level',
         'Lowest level that is logged.',
--- /dev/null
+++ b/damasklanding/platform/announcements.py
@@ -0,0 +1,136 @@
+"""
+damasklanding.platform.announcements
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What the backend server beside a node says of itself on this platform.
+"""
+
+import msgspec
+
+from damasklanding.errors import BadInput
+from damasklanding.errors import DamasklandingError
+from damasklanding.node.presence import Report
+from damasklanding.options import parse_duration_ms
+
+__all__ = ['announcement_app']
+
+PREFIX = '/instances/'
+JSON_TYPE = 'application/json'
+MAX_BYTES = 64 * 1024
+#: The platform's state names by whether new work may come.
+_STATES = {'ready': True, 'draining': False}
+
+
+class InfoDocument(msgspec.Struct, rename='camel'):
+    """What stays the same while a backend server runs."""
+
+    service: str
+    max_concurrency: int
+
+
+class StatusDocument(msgspec.Struct, rename='camel'):
+    """
+    What changes.
+
+    :ivar sequence: increases with each announcement of one start.
+    :ivar warmup_left: how much longer it stays cold.
+    """
+
+    state: str
+    sequence: int
+    warmup_left: str = '0ms'
+
+
+class AnnouncementDocument(msgspec.Struct):
+    """
+    An announcement.
+
+    :ivar born: time of the backend server's start, Unix milliseconds.
+    """
+
+    address: str
+    info: InfoDocument
+    status: StatusDocument
+    born: int = 0
+
+
+_decoder = msgspec.json.Decoder(AnnouncementDocument)
+
+
+class LeaveDocument(msgspec.Struct):
+    """The body of a departure, where there is one."""
+
+    born: int = 0
+
+
+_leave_decoder = msgspec.json.Decoder(LeaveDocument)
+
+
+def announcement_app(presence):
+    """
+    Return a WSGI application that takes announcements and departures.
+
+    :param presence: :class:`~damasklanding.node.presence.Presence`.
+    """
+
+    def put(instance, data):
+        presence.take(_report(instance, data))
+
+    def delete(instance, data):
+        born = 0
+        if data:
+            try:
+                born = _leave_decoder.decode(data).born
+            except msgspec.MsgspecError:
+                # The path alone says who leaves.
+                born = 0
+        presence.leave(instance, born)
+
+    actions = {'PUT': put, 'DELETE': delete}
+
+    def app(environ, start_response):
+        path = environ.get('PATH_INFO', '')
+        action = actions.get(environ['REQUEST_METHOD'])
+        status, body = '200 OK', b'{}'
+        if action is None or not path.startswith(PREFIX):
+            status, body = '404 Not Found', b'{"error":"not-found"}'
+        else:
+            data = environ['wsgi.input'].read(MAX_BYTES)
+            try:
+                action(path[len(PREFIX) :], data)
+            except DamasklandingError as error:
+                status = f'{error.http_status} Refused'
+                body = msgspec.json.encode(
+                    {'error': error.code, 'detail': error.problem}
+                )
+        headers = [
+            ('Content-Type', JSON_TYPE),
+            ('Content-Length', str(len(body))),
+        ]
+        start_response(status, headers)
+        return [body]
+
+    return app
+
+
+def _report(instance, data):
+    try:
+        document = _decoder.decode(data)
+        cold_for_ms = parse_duration_ms(document.status.warmup_left)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise BadInput(f'the announcement is malformed ({error})') from error
+    in_service = _STATES.get(document.status.state)
+    if in_service is None:
+        raise BadInput(f'the state is {document.status.state!r}')
+    if document.info.max_concurrency < 1 or not document.info.service:
+        raise BadInput('the announcement names no usable backend server')
+    return Report(
+        instance=instance,
+        address=document.address,
+        service=document.info.service,
+        in_service=in_service,
+        slots=document.info.max_concurrency,
+        cold_for_ms=round(cold_for_ms),
+        started_at_ms=document.born,
+        sequence=document.status.sequence,
+    )
--- /dev/null
+++ b/damasklanding/platform/operators.py
@@ -0,0 +1,94 @@
+"""
+damasklanding.platform.operators
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The platform's operator API: whole configurations and evacuations.
+"""
+
+import os
+import zlib
+
+import bottle
+
+from damasklanding.errors import BadInput
+from damasklanding.errors import DamasklandingError
+from damasklanding.errors import TooLarge
+from damasklanding.fleet.commands import Envelope
+from damasklanding.fleet.commands import SetDataCentre
+from damasklanding.platform.documents import decode_configuration
+
+__all__ = ['operator_app']
+
+OPERATOR = 'platform'
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+#: A caller asks another host after a second without an answer.
+PROPOSE_TIMEOUT_MS = 2_500
+JSON_TYPE = 'application/json'
+
+#: Status by error code where it differs from the product's own.
+_STATUSES = {'conflict': 412}
+
+
+def operator_app(host):
+    """
+    Return the bottle application of the operator API.
+
+    :param host: :class:`~damasklanding.control.host.ControlHost`.
+    """
+    app = bottle.Bottle()
+
+    def answer(error):
+        bottle.response.status = _STATUSES.get(error.code, error.http_status)
+        bottle.response.content_type = JSON_TYPE
+        return {'error': error.code, 'detail': error.problem}
+
+    def propose(command):
+        envelope = Envelope(
+            request_id=f'{OPERATOR}-{os.urandom(8).hex()}',
+            operator=OPERATOR,
+            command=command,
+        )
+        outcome = host.propose(envelope, PROPOSE_TIMEOUT_MS)
+        if outcome.error:
+            bottle.response.status = _STATUSES.get(outcome.error, 400)
+            return {'error': outcome.error, 'detail': outcome.problem}
+        return {}
+
+    def guarded(function):
+        def call(**arguments):
+            try:
+                return function(**arguments)
+            except DamasklandingError as error:
+                return answer(error)
+
+        return call
+
+    @app.put('/config')
+    @guarded
+    def put_config():
+        length = bottle.request.content_length
+        if length > MAX_DOCUMENT_BYTES:
+            raise TooLarge(f'a document of {length} bytes')
+        data = bottle.request.body.read(MAX_DOCUMENT_BYTES)
+        if length >= 0 and len(data) < length:
+            raise BadInput('the document was cut short')
+        return propose(decode_configuration(data))
+
+    @app.get('/config')
+    @guarded
+    def get_config():
+        document = host.current_document()
+        bottle.response.content_type = JSON_TYPE
+        return zlib.decompress(document)
+
+    @app.post('/evacuation/<name>')
+    @guarded
+    def start_evacuation(name):
+        return propose(SetDataCentre(name=name, out=True))
+
+    @app.delete('/evacuation/<name>')
+    @guarded
+    def end_evacuation(name):
+        return propose(SetDataCentre(name=name, out=False))
+
+    return app
--- /dev/null
+++ b/damasklanding/platform/requests.py
@@ -0,0 +1,155 @@
+"""
+damasklanding.platform.requests
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The headers of the platform's callers and backend servers.
+"""
+
+import msgspec
+
+from damasklanding.errors import UpstreamFailed
+from damasklanding.headers import HOP_BY_HOP
+from damasklanding.node.answers import NOT_RUN
+from damasklanding.node.answers import Answer
+from damasklanding.node.dialect import BackendDialect
+from damasklanding.node.dialect import CallerDialect
+from damasklanding.node.dialect import CallerHead
+
+__all__ = ['BACKEND_DIALECT', 'CALLER_DIALECT']
+
+ATTEMPT_ID = 'damasklanding-attempt-id'
+DEADLINE_MS = 'damasklanding-deadline-ms'
+SIGNATURE = 'damasklanding-server-signature'
+EXPECTED_INSTANCE = 'damasklanding-expected-instance'
+CALLING_SERVICE = 'damasklanding-caller-service'
+ORGANISATION = 'damasklanding-tenant'
+NOT_EXECUTED = 'damasklanding-not-executed'
+KEY = 'authorization'
+KEY_SCHEME = 'token '
+
+#: Set anew at each hop, or not to be shown to a backend server.
+_REPLACED = frozenset(
+    (DEADLINE_MS, EXPECTED_INSTANCE, CALLING_SERVICE, ORGANISATION, KEY)
+)
+#: Of one connection only; ``host`` and ``date`` are passed on.
+_HOP_BY_HOP = (HOP_BY_HOP | {'connection'}) - {'host', 'date'}
+
+#: Statuses that promise the caller that a request has not run.
+_PROMISES = frozenset((408, 421, 429, 503))
+#: Statuses of a request that is at fault itself; it has not run either.
+_FINAL = frozenset((400, 401, 404, 413, 431))
+UNDECIDED_STATUS = 502
+NOT_RUN_STATUS = 503
+MAX_DEADLINE_DIGITS = 9
+
+
+class RefusalBody(msgspec.Struct):
+    """Body of an answer that the system gives by itself."""
+
+    error: str
+    detail: str
+
+
+_encode = msgspec.json.Encoder().encode
+
+
+def _nominated(headers):
+    for index in range(0, len(headers), 2):
+        if headers[index] == 'connection':
+            names = headers[index + 1].lower().split(',')
+            return frozenset(name.strip() for name in names)
+    return frozenset()
+
+
+def _passed_on(headers, left_out):
+    nominated = _nominated(headers)
+    passed = []
+    for index in range(0, len(headers), 2):
+        name = headers[index]
+        if name in left_out or name in nominated:
+            continue
+        passed += (name, headers[index + 1])
+    return passed
+
+
+def _read(request):
+    named = request.named
+    deadline = named.get(DEADLINE_MS, '')
+    known = deadline.isdecimal() and len(deadline) <= MAX_DEADLINE_DIGITS
+    credentials = named.get(KEY, '')
+    key = None
+    if credentials[: len(KEY_SCHEME)].lower() == KEY_SCHEME:
+        key = credentials[len(KEY_SCHEME) :].strip()
+    return CallerHead(
+        request_id=named.get(ATTEMPT_ID, ''),
+        host=named.get('host', '').partition(':')[0].lower(),
+        deadline_ms=int(deadline) if known else None,
+        key=key,
+    )
+
+
+def _forwarded(request, organisation, calling_service):
+    headers = _passed_on(request.headers, _HOP_BY_HOP | _REPLACED)
+    if calling_service:
+        headers += (CALLING_SERVICE, calling_service)
+    if organisation:
+        headers += (ORGANISATION, organisation)
+    return headers
+
+
+def _pairs(answer):
+    headers = answer.headers
+    pairs = list(zip(headers[::2], headers[1::2], strict=True))
+    if answer.parts is None:
+        pairs.append(('content-length', str(len(answer.body))))
+    elif answer.length is not None:
+        pairs.append(('content-length', str(answer.length)))
+    return pairs
+
+
+def _refusal(error):
+    status = error.http_status
+    if error.outcome == NOT_RUN:
+        if status not in _PROMISES and status not in _FINAL:
+            status = NOT_RUN_STATUS
+    elif status in _PROMISES or status in _FINAL:
+        status = UNDECIDED_STATUS
+    headers = ['content-type', 'application/json']
+    if error.retry_after_ms and status in _PROMISES:
+        headers += ('retry-after', f'{error.retry_after_ms / 1000:.3f}')
+    body = _encode(RefusalBody(error.code, error.problem))
+    return Answer(status, headers, body, outcome=error.outcome)
+
+
+def _head(call, _token, _address, instance, left_ms):
+    lines = [f'{call.method} {call.target} HTTP/1.1']
+    headers = call.headers
+    for index in range(0, len(headers), 2):
+        lines.append(f'{headers[index]}: {headers[index + 1]}')
+    lines.append(f'{DEADLINE_MS}: {left_ms}')
+    if instance:
+        lines.append(f'{EXPECTED_INSTANCE}: {instance}')
+    return lines
+
+
+def _belongs(reply, call):
+    return reply.named.get(ATTEMPT_ID, call.request_id) == call.request_id
+
+
+def _reply_headers(reply):
+    return _passed_on(reply.flat_headers, _HOP_BY_HOP)
+
+
+def _judge(answer, reply, _call):
+    status = answer.status
+    if status == 421 or NOT_EXECUTED in reply.named:
+        answer.outcome = NOT_RUN
+        answer.may_retry = True
+    elif status < 300 and SIGNATURE not in reply.named:
+        raise UpstreamFailed('the backend server did not sign its answer')
+
+
+CALLER_DIALECT = CallerDialect(_read, _forwarded, _pairs, _refusal)
+BACKEND_DIALECT = BackendDialect(
+    _head, _belongs, _reply_headers, _judge, until_close=True
+)
--- a/damasklanding/policy/gate.py
+++ b/damasklanding/policy/gate.py
@@ -156,9 +156,14 @@
             return 0.0
         return self._wait_behind(self.queue.ahead_of(work))
 
-    def announce(self, cold, slots=0):
-        """Note an announcement of the backend server."""
-        self.limiter.announce(cold, slots)
+    def announce(self, cold, slots=0, cold_for_ms=0):
+        """
+        Note an announcement of the backend server.
+
+        :param cold_for_ms: how much longer it stays cold, if it says so.
+        """
+        self.limiter.announce(cold, slots, cold_for_ms)
+        self._dispatch()
 
     def drain(self):
         """Refuse new work; calls that wait or run go on."""
@@ -240,7 +245,9 @@
             waiter = ticket.context
             waiter.call = self.limiter.begin(ticket.work.profile)
             waiter.event.set()
-        if len(self.queue) and not self.limiter.running:
+        if len(self.queue) and (
+            not self.limiter.running or self.limiter.pause_ms() > 0
+        ):
             self._wake_later()
 
     def _wake_later(self):
@@ -304,11 +311,15 @@
         self._by_profile[profile] = known_ms
 
 
-def build_gate(service, now_ms=monotonic_ms):
-    """Return a :class:`Gate` with parts of its own."""
+def build_gate(service, now_ms=monotonic_ms, build_limiter=Limiter):
+    """
+    Return a :class:`Gate` with parts of its own.
+
+    :param build_limiter: function of a clock that returns the limiter.
+    """
     return Gate(
         service,
-        Limiter(now_ms),
+        build_limiter(now_ms),
         WaitQueue(now_ms),
         RefusalLevels(now_ms),
         now_ms,
--- a/damasklanding/policy/limiter.py
+++ b/damasklanding/policy/limiter.py
@@ -152,7 +152,7 @@
         elif result in TROUBLE and not call.onward:
             self._failed(call)
 
-    def announce(self, cold, slots=0):
+    def announce(self, cold, slots=0, cold_for_ms=0):
         """
         Note the backend server's own word.
 
@@ -160,6 +160,7 @@
         that is late must not end a cold start.
 
         :param slots: upper hint, 0 where unknown.
+        :param cold_for_ms: not used; the end of a cold start is measured.
         """
         if cold and not self._announced_cold:
             self._known_limit = 0.0
--- /dev/null
+++ b/damasklanding/policy/split.py
@@ -0,0 +1,27 @@
+"""
+damasklanding.policy.split
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Spreads the requests of a route over its services by weight.
+"""
+
+__all__ = ['choose_part']
+
+
+def choose_part(parts, point):
+    """
+    Return the part of a route that a request goes to.
+
+    :param parts: tuple of :class:`~damasklanding.fleet.resources.Part`; all
+        get the same where no weight is above 0.
+    :param point: number in [0, 1), drawn anew for each request.
+    """
+    whole = sum(part.weight for part in parts)
+    if whole <= 0:
+        return parts[int(point * len(parts))]
+    reached = 0.0
+    for part in parts:
+        reached += part.weight / whole
+        if point < reached:
+            return part
+    return max(parts, key=lambda part: part.weight)
--- a/damasklanding/settings.py
+++ b/damasklanding/settings.py
@@ -30,9 +30,12 @@
     'daemon_command',
     'load_settings',
     'read_secret',
+    'read_settings_file',
+    'seed_control_hosts',
 ]
 
 CONTROL_HOST_COUNTS = (1, 3, 5, 7, 9)
+CONFIG_FLAG = '--config (or DAMASKLANDING_CONFIG)'
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -59,17 +62,46 @@
     max_body_bytes: int = 1_073_741_824
     header_timeout_ms: int = 5_000
     idle_timeout_ms: int = 60_000
+    interface: str = 'own'
+    seed_hosts: tuple[str, ...] = ()
+    announce_address: str = ''
+    readiness_address: str = ''
+    operator_address: str = ''
+    backend_service: str = ''
+    retry_ratio: float = 0.1
+    retry_reserve: int = 10
+    stop_grace_ms: int = 30_000
     log_level: str = 'info'
     log_json: bool = False
+    settings_file: str = ''
 
     def __repr__(self):
         return f'Settings(name={self.name!r}, roles={self.roles!r})'
 
+    @property
+    def serves_platform(self):
+        """Return whether callers and operators speak the platform's way."""
+        return self.interface == 'platform'
 
-_REQUIRED = ('name', 'data_centre', 'peer_address', 'control_hosts')
+
+_REQUIRED = {
+    'own': ('name', 'data_centre', 'peer_address', 'control_hosts'),
+    'platform': ('name', 'data_centre', 'peer_address', 'seed_hosts'),
+}
 _REQUIRED_BY_ROLE = {
-    'node': ('caller_address', 'egress_address'),
-    'control': ('data_folder', 'admin_address', 'operator_tokens_file'),
+    ('own', 'node'): ('caller_address', 'egress_address'),
+    ('own', 'control'): (
+        'data_folder',
+        'admin_address',
+        'operator_tokens_file',
+    ),
+    ('platform', 'node'): (
+        'caller_address',
+        'announce_address',
+        'readiness_address',
+        'backend_service',
+    ),
+    ('platform', 'control'): ('data_folder', 'operator_address'),
 }
 _ADDRESSES = (
     'peer_address',
@@ -78,15 +110,19 @@
     'backend_address',
     'operations_address',
     'admin_address',
+    'announce_address',
+    'readiness_address',
+    'operator_address',
 )
 _WILDCARDS = ('0.0.0.0', '::')
 
 
-def load_settings(texts):
+def load_settings(texts, settings_file=''):
     """
     Check texts by field name and return the settings.
 
     :param texts: dict of field name to text; absent or None for defaults.
+    :param settings_file: path of the file that some of them came from.
     :return: :class:`Settings`.
     :raises BadSetting: names the flag, the value and the remedy.
     """
@@ -103,12 +139,63 @@
     if secret is not None:
         values['secret'] = secret
     _check_required(values)
-    settings = Settings(**values)
+    if 'seed_hosts' in values:
+        values['control_hosts'] = seed_control_hosts(
+            values['seed_hosts'], values['peer_address']
+        )
+    settings = Settings(**values, settings_file=settings_file)
     for check in _CHECKS:
         check(settings)
     return settings
 
 
+def seed_control_hosts(seed_hosts, peer_address):
+    """
+    Return seeds as pairs of name and peer address.
+
+    A control host that is known by a seed only is named by its IP number,
+    and its peer listener has the port of the own one.
+
+    :param seed_hosts: addresses ``ip:port`` of any listener there.
+    """
+    _, port = split_address(peer_address)
+    hosts = sorted({split_address(address)[0] for address in seed_hosts})
+    return tuple((host, f'{host}:{port}') for host in hosts)
+
+
+def read_settings_file(path):
+    """
+    Return the texts by field name of a settings file.
+
+    Each line is ``VARIABLE=text`` with the name of an environment variable;
+    empty lines and those that start with ``#`` are passed over.
+
+    :raises BadSetting: a line is malformed or names no setting.
+    """
+    fields = {option.variable: option.field for option in OPTIONS}
+    texts = {}
+    try:
+        with open(path, encoding='utf-8') as file:
+            lines = file.read().splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadSetting(
+            f'{CONFIG_FLAG} is {path!r}, which can not be read ({error})',
+            'name a readable file of VARIABLE=text lines',
+        ) from error
+    for number, line in enumerate(lines, 1):
+        if not line.strip() or line.startswith('#'):
+            continue
+        variable, _, text = line.partition('=')
+        field = fields.get(variable.strip())
+        if field is None:
+            raise BadSetting(
+                f'{path} line {number} sets {variable!r}, which is no setting',
+                'use the names of the environment variables',
+            )
+        texts[field] = text.strip()
+    return texts
+
+
 def _bad(field, value, problem, remedy=None):
     option = option_of(field)
     shown = '***' if field == 'secret' else repr(value)
@@ -123,9 +210,10 @@
         raise BadSetting(
             'neither --secret-file nor --secret is set', SECRET_REMEDY
         )
-    needed = list(_REQUIRED)
+    interface = values.get('interface', 'own')
+    needed = list(_REQUIRED[interface])
     for role in values.get('roles', ('node',)):
-        needed.extend(_REQUIRED_BY_ROLE[role])
+        needed.extend(_REQUIRED_BY_ROLE[interface, role])
     for field in needed:
         if field not in values:
             option = option_of(field)
@@ -166,6 +254,8 @@
 
 
 def _check_control_hosts(settings):
+    if settings.seed_hosts:
+        return
     hosts = settings.control_hosts
     shown = ','.join(f'{name}={address}' for name, address in hosts)
     if len(hosts) not in CONTROL_HOST_COUNTS:
@@ -210,7 +300,7 @@
 
 
 def _check_tokens_file(settings):
-    if 'control' not in settings.roles:
+    if 'control' not in settings.roles or not settings.operator_tokens_file:
         return
     path = settings.operator_tokens_file
     if not os.path.isfile(path) or not os.access(path, os.R_OK):
@@ -256,9 +346,12 @@
 
     from damasklanding import __version__
 
-    def main(**texts):
+    def main(config, **texts):
         try:
-            run(load_settings(texts))
+            if config:
+                given = {k: text for k, text in texts.items() if text}
+                texts = {**read_settings_file(config), **given}
+            run(load_settings(texts, config or ''))
         except DamasklandingError as error:
             click.echo(f'damasklandingd: {error}', err=True)
             raise SystemExit(error.exit_status) from error
@@ -269,6 +362,15 @@
         epilog=_EPILOGUE,
         context_settings={'help_option_names': ['-h', '--help']},
     )(main)
+    command.params.append(
+        click.Option(
+            ['--config'],
+            envvar='DAMASKLANDING_CONFIG',
+            show_envvar=True,
+            metavar='FILE',
+            help='Settings file; flags and other variables go before it.',
+        )
+    )
     for option in OPTIONS:
         command.params.append(_click_option(click, option))
     return click.version_option(__version__, prog_name='damasklandingd')(
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -167,7 +167,7 @@
     def load(self):
         return LoadReport('desk', 50, 0, draining=self.draining)
 
-    def announce(self, cold, slots=0):
+    def announce(self, cold, slots=0, cold_for_ms=0):
         self.announced = (cold, slots)
 
     def drain(self):
@@ -220,7 +220,7 @@
         self.links.start()
         self.node.start()
         if backing:
-            self.node._announce(Announcement('desk', 'in', False, 50))
+            self.node.announce(Announcement('desk', 'in', False, 50))
 
     def backend(self, **changes):
         values = {
