--- /dev/null
+++ b/tests/test_platform_requests.py
@@ -0,0 +1,145 @@
+import pytest
+
+from damasklanding.errors import DamasklandingError
+from damasklanding.errors import DeadlineExceeded
+from damasklanding.errors import KeyRefused
+from damasklanding.errors import NotFound
+from damasklanding.errors import Overloaded
+from damasklanding.errors import OverRate
+from damasklanding.errors import Unavailable
+from damasklanding.errors import UpstreamFailed
+from damasklanding.errors import UpstreamTimeout
+from damasklanding.node.answers import NOT_RUN
+from damasklanding.node.answers import RAN
+from damasklanding.node.answers import UNKNOWN
+from damasklanding.node.answers import Answer
+from damasklanding.node.heads import parse_head
+from damasklanding.platform.requests import BACKEND_DIALECT
+from damasklanding.platform.requests import CALLER_DIALECT
+
+HEAD = (
+    b'GET /leny950/2f?a=b HTTP/1.1\r\n'
+    b'Host: Hulo84.example:80\r\n'
+    b'Damasklanding-Attempt-Id: 9c41\r\n'
+    b'Damasklanding-Deadline-Ms: 6000\r\n'
+    b'Damasklanding-Tenant: forged\r\n'
+    b'Damasklanding-Caller-Service: forged\r\n'
+    b'Damasklanding-Expected-Instance: forged\r\n'
+    b'Authorization: Token secretkey\r\n'
+    b'X-Own: 1\r\n'
+    b'X-Hop: 2\r\n'
+    b'Connection: keep-alive, X-Hop'
+)
+
+
+def as_dict(flat):
+    return dict(zip(flat[::2], flat[1::2], strict=True))
+
+
+def test_caller_head():
+    head = CALLER_DIALECT.read(parse_head(HEAD))
+    assert head.request_id == '9c41'
+    assert head.host == 'hulo84.example'
+    assert head.deadline_ms == 6000
+    assert head.key == 'secretkey'
+
+
+def test_what_the_system_sets_replaces_what_was_sent():
+    headers = CALLER_DIALECT.forwarded(parse_head(HEAD), 'lender', 'desk')
+    assert headers.count('damasklanding-tenant') == 1
+    known = as_dict(headers)
+    assert known['damasklanding-tenant'] == 'lender'
+    assert known['damasklanding-caller-service'] == 'desk'
+    assert known['damasklanding-attempt-id'] == '9c41'
+    assert known['host'] == 'Hulo84.example:80'
+    assert known['x-own'] == '1'
+    assert 'x-hop' not in known
+    assert 'damasklanding-expected-instance' not in known
+    assert 'secretkey' not in repr(headers)
+
+
+def test_no_organisation_leaves_no_forged_one():
+    headers = CALLER_DIALECT.forwarded(parse_head(HEAD), '', 'desk')
+    assert 'damasklanding-tenant' not in headers
+
+
+PROMISES = (408, 421, 429, 503)
+
+
+@pytest.mark.parametrize(
+    ('kind', 'status'),
+    [
+        (Overloaded, 503),
+        (OverRate, 429),
+        (Unavailable, 503),
+        (NotFound, 404),
+        (KeyRefused, 401),
+        (DeadlineExceeded, 503),
+        (UpstreamTimeout, 503),
+        (DamasklandingError, 503),
+    ],
+)
+def test_refusal_of_what_has_not_run(kind, status):
+    error = kind('no', retry_after_ms=250)
+    error.outcome = NOT_RUN
+    answer = CALLER_DIALECT.refusal(error)
+    assert answer.status == status
+    if status in PROMISES:
+        assert as_dict(answer.headers)['retry-after'] == '0.250'
+
+
+@pytest.mark.parametrize(
+    'kind', [UpstreamFailed, UpstreamTimeout, Unavailable, Overloaded]
+)
+def test_what_may_have_run_gets_no_promise(kind):
+    error = kind('who knows', retry_after_ms=250)
+    error.outcome = UNKNOWN
+    answer = CALLER_DIALECT.refusal(error)
+    assert answer.status in (502, 504)
+    assert 'retry-after' not in answer.headers
+
+
+class ReplyFake:
+    def __init__(self, **named):
+        self.named = {k.replace('_', '-'): v for k, v in named.items()}
+        self.flat_headers = [x for pair in self.named.items() for x in pair]
+
+
+class CallFake:
+    request_id = '9c41'
+    method = 'GET'
+    target = '/leny950/2f'
+    headers = ('host', 'hulo84.example')
+
+
+def test_stray_answer_is_told_by_its_id():
+    belongs = BACKEND_DIALECT.belongs
+    assert belongs(ReplyFake(damasklanding_attempt_id='9c41'), CallFake)
+    assert not belongs(ReplyFake(damasklanding_attempt_id='77'), CallFake)
+    assert belongs(ReplyFake(), CallFake)
+
+
+def judged(status, **named):
+    answer = Answer(status, [])
+    BACKEND_DIALECT.judge(answer, ReplyFake(**named), CallFake)
+    return answer.outcome
+
+
+def test_only_a_stated_refusal_has_not_run():
+    assert judged(503, damasklanding_not_executed='1') == NOT_RUN
+    assert judged(421) == NOT_RUN
+    assert judged(503) == RAN
+    assert judged(500) == RAN
+    assert judged(200, damasklanding_server_signature='s') == RAN
+
+
+def test_unsigned_success_is_not_trusted():
+    with pytest.raises(UpstreamFailed):
+        judged(200)
+
+
+def test_backend_head_names_the_instance_and_the_time_left():
+    lines = BACKEND_DIALECT.head(CallFake, 't', '10.0.0.1:80', 'i-1', 740)
+    assert lines[0] == 'GET /leny950/2f HTTP/1.1'
+    assert 'damasklanding-expected-instance: i-1' in lines
+    assert 'damasklanding-deadline-ms: 740' in lines
