End elections however slow hosts and disks are; read seeds anew

Cause: the times of an election were fixed. Where storing a vote takes longer than 800 ms, each candidate gave up before the votes came, and a leader that had won was deposed before its followers had stored the new term; terms rose without end. Ruled out: a pre-vote that raises the term (it does not), heartbeats held up by entries (they have loops of their own).

Change: each election that came to nothing doubles its times, up to 16; the first entry that is accepted sets them back. A control host whose store is damaged frees its folder at once. Seeds come from the settings file, which is read again when it has changed; SIGHUP no longer ends a process.

--- a/bench/control.py
+++ b/bench/control.py
@@ -154,7 +154,7 @@
     def __init__(self, hosts):
         identity = Identity('bench', 'tool', 'bench')
         pool = LinkPool(identity, SECRET)
-        self._client = ControlClient(pool, hosts.addresses)
+        self._client = ControlClient(pool, lambda: hosts.addresses)
         self.count = 0
 
     def change(self):
--- a/bench/operator.py
+++ b/bench/operator.py
@@ -46,15 +46,17 @@
     def __init__(self, addresses, secret):
         identity = Identity('bench', 'tool', uuid4().hex)
         self._pool = LinkPool(identity, secret)
-        self._client = ControlClient(
-            self._pool, [(address, address) for address in addresses]
-        )
+
+        def seeds():
+            return [(address, address) for address in addresses]
+
+        self._client = ControlClient(self._pool, seeds)
         self.view = FleetView()
         self._watch = WatchClient(
             self.view,
             LinkPool(identity, secret),
             identity,
-            addresses,
+            seeds,
             random.Random(1),
             all_services=True,
         )
--- a/bench/watchers.py
+++ b/bench/watchers.py
@@ -34,7 +34,7 @@
             FleetView(),
             LinkPool(identity, SECRET.encode()),
             identity,
-            configuration['addresses'],
+            lambda: [(a, a) for a in configuration['addresses']],
             random.Random(index),
             all_services=configuration.get('all_services', False),
         )
--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -19,6 +19,7 @@
 from damasklanding.links import LinkPool
 from damasklanding.linkserver import LinkServer
 from damasklanding.metrics import Metrics
+from damasklanding.seeds import seed_source
 
 __all__ = ['Daemon']
 
@@ -253,9 +254,8 @@
         self._fresh_limit_ms = settings.fresh_limit_ms
         self._encode_load = encode_load
         self._decode_load = decode_load
-        client = ControlClient(
-            daemon.pool, settings.control_hosts, view=self.view
-        )
+        seeds = seed_source(settings)
+        client = ControlClient(daemon.pool, seeds, view=self.view)
         self.registration = Registration(
             Backend(
                 name=settings.name,
@@ -274,7 +274,7 @@
             self.view,
             daemon.pool,
             identity,
-            [address for _, address in settings.control_hosts],
+            seeds,
             random.Random(identity.instance),
             self.telemetry.take,
         )
--- a/damasklanding/control/client.py
+++ b/damasklanding/control/client.py
@@ -26,12 +26,13 @@
         Start with the first control host.
 
         :param pool: :class:`~damasklanding.links.LinkPool`.
-        :param control_hosts: pairs of name and address.
+        :param control_hosts: function that returns the first ones to try,
+            as pairs of name and address.
         :param view: :class:`~damasklanding.node.view.FleetView` that tells
             of control hosts which have joined later.
         """
         self._pool = pool
-        self._known = [address for _, address in control_hosts]
+        self._control_hosts = control_hosts
         self._view = view
         self._next = 0
         self._now_ms = now_ms
@@ -83,14 +84,15 @@
             gevent.sleep(PAUSE_MS / 1000)
 
     def _addresses(self):
+        known = [address for _, address in self._control_hosts()]
         if self._view is None:
-            return self._known
+            return known
         joined = [
             host.peer_address
             for host in self._view.state.all('control_host').values()
-            if host.peer_address not in self._known
+            if host.peer_address not in known
         ]
-        return self._known + joined
+        return known + joined
 
     def _turn_from(self, turn):
         if self._next == turn:
--- a/damasklanding/control/election.py
+++ b/damasklanding/control/election.py
@@ -63,6 +63,9 @@
     replica.journal.sync_vote()
     won = _wins(replica, term, False, transfer)
     replica.count('elections_total', 'won' if won else 'lost')
+    if not won:
+        replica.lengthen_elections()
+        replica.postpone_election()
     if won and replica.term == term:
         replica.lead()
 
@@ -116,7 +119,7 @@
         for name in _others(replica, electorates)
     ]
     try:
-        with gevent.Timeout(replica.timing.election_min_ms / 1000, False):
+        with gevent.Timeout(replica.election_min_ms / 1000, False):
             _count(replica, electorates, granted, replies, len(jobs))
     finally:
         gevent.killall(jobs, block=False)
@@ -141,7 +144,7 @@
 
 
 def _ask(replica, name, request, replies):
-    timeout_ms = replica.timing.election_min_ms / 2
+    timeout_ms = replica.election_min_ms / 2
     try:
         reply = replica.send(name, request, timeout_ms)
     except DamasklandingError:
--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -37,6 +37,7 @@
 from damasklanding.fleet.resources import ControlHost as ControlHostResource
 from damasklanding.logs import StateLog
 from damasklanding.node.view import FleetView
+from damasklanding.seeds import seed_source
 
 __all__ = ['ControlHost', 'GroupStatus', 'HostStatus']
 
@@ -117,15 +118,16 @@
         self._greenlet = None
         self._resources = ExitStack()
         self._resources.enter_context(locked_folder(settings.data_folder))
-        others = [
-            (name, address)
-            for name, address in settings.control_hosts
-            if name != settings.name
-        ]
-        self._client = ControlClient(pool, others, now_ms, self.view)
+        self._client = ControlClient(
+            pool, _other_seeds(settings), now_ms, self.view
+        )
         self._joining = StateLog()
         self._machine = ConfigurationMachine(self.view, metrics)
-        self.config = self.add_group(CONFIG, self._machine)
+        try:
+            self.config = self.add_group(CONFIG, self._machine)
+        except DamasklandingError:
+            self._resources.close()
+            raise
         self.leases = LeaseKeeper(self.config, self.view, self._send)
         self._reconciler = MemberReconciler(
             self._replicas,
@@ -338,6 +340,11 @@
             raise
 
 
+def _other_seeds(settings):
+    seeds = seed_source(settings)
+    return lambda: [pair for pair in seeds() if pair[0] != settings.name]
+
+
 def _group_status(replica):
     age_ms = replica.confirmed_age_ms()
     return GroupStatus(
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -50,6 +50,9 @@
 MAX_PAYLOAD_BYTES = 1_048_576
 PROPOSED_KINDS = ('command', 'members')
 HAND_OVER_LIMIT_MS = 500
+#: With the usual times this waits 13 s for a vote at most, longer than any
+#: disk that still works takes.
+MAX_PATIENCE = 16
 
 
 class Replica:
@@ -59,6 +62,8 @@
     :ivar leader: name of the leader heard last, empty without one.
     :ivar commit_index: index up to which entries are accepted for good.
     :ivar proposals: :class:`Proposals` that wait for their entries.
+    :ivar patience: factor on the times of an election; grows with each one
+        that failed, so that elections end however slow hosts and disks are.
     """
 
     def __init__(
@@ -96,6 +101,7 @@
         self.applier = Applier(self)
         self.membership = Membership(0, ())
         self.election_wanted = Event()
+        self.patience = 1
         self._random = random or SystemRandom()
         self._metrics = metrics
         self._incoming = Incoming(self)
@@ -239,11 +245,24 @@
             and member.incarnation == self.incarnation
         )
 
+    @property
+    def election_min_ms(self):
+        """Return the time within which votes and heartbeats are awaited."""
+        return self.patience * self.timing.election_min_ms
+
+    @property
+    def election_max_ms(self):
+        """Return the silence of a quorum after which a leader steps down."""
+        return self.patience * self.timing.election_max_ms
+
+    def lengthen_elections(self):
+        """Allow more time after an election that came to nothing."""
+        self.patience = min(MAX_PATIENCE, 2 * self.patience)
+
     def postpone_election(self):
         """Wait for another randomized timeout before an election."""
-        timing = self.timing
         self._deadline_ms = self.now_ms() + self._random.uniform(
-            timing.election_min_ms, timing.election_max_ms
+            self.election_min_ms, self.election_max_ms
         )
 
     def election_due(self):
@@ -329,6 +348,7 @@
     def commit(self, index):
         """Accept entries up to an index for good."""
         if index > self.commit_index:
+            self.patience = 1
             self.commit_index = index
             self.applier.wake()
 
--- a/damasklanding/control/replication.py
+++ b/damasklanding/control/replication.py
@@ -124,7 +124,9 @@
         """Step down where a quorum has been silent for too long."""
         heard_ms = max(self.confirmed_ms(), self.started_ms)
         silent_ms = self.replica.now_ms() - heard_ms
-        if silent_ms > self.replica.timing.election_max_ms:
+        if silent_ms > self.replica.election_max_ms:
+            if self.replica.commit_index < self.first_index:
+                self.replica.lengthen_elections()
             self.replica.step_down('no quorum answers')
 
     def advance_commit(self):
@@ -248,7 +250,7 @@
             self._exchange(
                 peer,
                 self._request(peer.match_index, []),
-                timing.election_min_ms,
+                self.replica.election_min_ms,
             )
             if not self.is_over():
                 mark_settled(self)
--- a/damasklanding/daemon.py
+++ b/damasklanding/daemon.py
@@ -27,6 +27,11 @@
     stopping = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
+    # What may change while a process runs is read from the settings file
+    # when it is needed, so the signal needs no more than a line.
+    gevent.signal_handler(
+        signal.SIGHUP, logger.info, 'the settings file may have changed'
+    )
     daemon = Daemon(settings)
     daemon.start()
     logger.info('started with roles {}', ','.join(settings.roles))
--- a/damasklanding/node/watch.py
+++ b/damasklanding/node/watch.py
@@ -37,7 +37,8 @@
     :param view: :class:`damasklanding.node.view.FleetView`.
     :param pool: :class:`damasklanding.links.LinkPool`.
     :param identity: own identity.
-    :param control_addresses: peer addresses of the control hosts.
+    :param control_hosts: function that returns the control hosts to try
+        first, as pairs of name and peer address.
     :param random: ``random.Random``, spreads the nodes over the sources.
     :param take_status: returns the bytes that each heartbeat carries.
     :param all_services: whether to learn of every backend server at once.
@@ -48,7 +49,7 @@
         view,
         pool,
         identity,
-        control_addresses,
+        control_hosts,
         random,
         take_status=bytes,
         all_services=False,
@@ -56,8 +57,7 @@
         self._view = view
         self._pool = pool
         self._identity = identity
-        self._control_addresses = list(control_addresses)
-        random.shuffle(self._control_addresses)
+        self._control_hosts = control_hosts
         self._random = random
         self._take_status = take_status
         self._all_services = all_services
@@ -102,12 +102,15 @@
         ]
         relays = sorted(set(relays))
         self._random.shuffle(relays)
-        learned = [
+        control = [address for _, address in self._control_hosts()]
+        control += [
             host.peer_address
             for host in self._view.state.all('control_host').values()
-            if host.peer_address not in self._control_addresses
+            if host.peer_address not in control
         ]
-        return self._control_addresses + learned + relays[:3]
+        # In another order each time, so that the nodes spread.
+        self._random.shuffle(control)
+        return control + relays[:3]
 
     def _run(self):
         while True:
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -162,7 +162,9 @@
     def client(self, addresses=None, view=None):
         identity = Identity('test', 'tool', 'i')
         pool = LinkPool(identity, SECRET)
-        return ControlClient(pool, addresses or self.addresses, view=view)
+        return ControlClient(
+            pool, lambda: addresses or self.addresses, view=view
+        )
 
     def settled(self):
         """Wait until all hosts have applied the same entries."""
--- a/tests/replica_net.py
+++ b/tests/replica_net.py
@@ -86,10 +86,28 @@
         return {payload for _, payload in self.entries}
 
 
+class SlowVotes(Journal):
+    """A journal whose disk takes its time over each new vote."""
+
+    slow_ms = 0
+
+    def sync_vote(self):
+        if self.slow_ms and self._durable_vote != self.vote:
+            gevent.sleep(self.slow_ms / 1000)
+        super().sync_vote()
+
+
 class Net:
     """Replicas by name; ``faults`` is drawn from a seeded random."""
 
-    def __init__(self, folder, names=('a', 'b', 'c'), timing=QUICK, seed=1):
+    def __init__(
+        self,
+        folder,
+        names=('a', 'b', 'c'),
+        timing=QUICK,
+        seed=1,
+        slow_vote_ms=0,
+    ):
         self.folder = str(folder)
         self.timing = timing
         self.random = random.Random(seed)
@@ -100,15 +118,17 @@
         self.cut = set()
         self.silent = set()
         self.slow_ms = 0
+        self.slow_vote_ms = slow_vote_ms
         self.repeats = False
         self.lives = 0
         for name in names:
             self.start(name)
 
     def start(self, name):
-        journal = Journal(
+        journal = SlowVotes(
             os.path.join(self.folder, name), sync_file=lambda number: None
         )
+        journal.slow_ms = self.slow_vote_ms
         replica = Replica(
             name,
             'config',
--- a/tests/test_claims_replicated.py
+++ b/tests/test_claims_replicated.py
@@ -50,7 +50,7 @@
 
 def client_of(made, addresses=None):
     pool = LinkPool(Identity('node', 'node', 'i'), SECRET)
-    control = ControlClient(pool, addresses or made.addresses)
+    control = ControlClient(pool, lambda: addresses or made.addresses)
     return ClaimClient(control, monotonic_ms, Metrics())
 
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -3,6 +3,7 @@
 
 import gevent
 import pytest
+from replica_net import QUICK
 from replica_net import Net
 from replica_net import eventually
 
@@ -229,3 +230,14 @@
         leader.journal.close()
         fleet.converge()
         fleet.check_converged()
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_election_ends_however_slow_the_disks_are(tmp_path, seed):
+    slow_ms = 3 * QUICK.election_max_ms
+    with net(tmp_path, seed=seed, slow_vote_ms=slow_ms) as fleet:
+        fleet.settle_one(b'slow')
+        assert fleet.leader().term <= 12
+        fleet.kill(fleet.leader().name)
+        fleet.settle_one(b'again')
+        fleet.check()
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -54,9 +54,11 @@
 def follow(*addresses, view=None, **options):
     view = view or FleetView()
     pool = LinkPool(NODE, SECRET)
-    client = WatchClient(
-        view, pool, NODE, addresses, random.Random(1), **options
-    )
+
+    def seeds():
+        return [(address, address) for address in addresses]
+
+    client = WatchClient(view, pool, NODE, seeds, random.Random(1), **options)
     client.start()
     return client, view
 
