--- a/damasklanding/budget/holding.py
+++ b/damasklanding/budget/holding.py
@@ -41,12 +41,17 @@
 
 
 class Waiter:
-    """A request that waits for a token until a deadline."""
+    """
+    A request that waits for a token until a deadline.
+
+    :ivar organisation: whose budget it needs.
+    """
 
-    __slots__ = ('deadline_ms', 'error', 'event', 'admitted')
+    __slots__ = ('admitted', 'deadline_ms', 'error', 'event', 'organisation')
 
-    def __init__(self, deadline_ms):
+    def __init__(self, deadline_ms, organisation=None):
         self.deadline_ms = deadline_ms
+        self.organisation = organisation
         self.error = None
         self.admitted = False
         self.event = Event()
@@ -71,6 +76,9 @@
     :ivar scarce: whether the owner was short of tokens.
     :ivar horizon_ms: when the next token is due that no one has yet, as far
         as known; 0 while there are tokens.
+    :ivar alone_until_ms: until when the owner is not asked, since it did
+        not issue.
+    :ivar portion: of the node's even part that may be used meanwhile.
     """
 
     __slots__ = (
@@ -82,6 +90,8 @@
         'promised',
         'scarce',
         'horizon_ms',
+        'alone_until_ms',
+        'portion',
         'taken',
         'low',
         'ttl_ms',
@@ -98,6 +108,8 @@
         self.promised = 0
         self.scarce = False
         self.horizon_ms = 0.0
+        self.alone_until_ms = 0.0
+        self.portion = 0.0
         self.taken = 0
         self.low = 0
         self.ttl_ms = 0
@@ -139,6 +151,17 @@
         while waiters and self.take(now_ms):
             waiters.popleft().admit()
 
+    def admit_some(self, admits):
+        """Let uncovered requests go on for which a function says so."""
+        covered = list(self.waiters)[: self.promised]
+        stay = []
+        for waiter in self.uncovered():
+            if admits(waiter):
+                waiter.admit()
+            else:
+                stay.append(waiter)
+        self.waiters = deque(covered + stay)
+
     def uncovered(self):
         """Return the waiting requests that no promised token will serve."""
         return list(self.waiters)[self.promised :]
--- a/damasklanding/budget/holdings.py
+++ b/damasklanding/budget/holdings.py
@@ -11,6 +11,7 @@
 import math
 
 import gevent
+from gevent.event import Event
 
 from damasklanding.budget.holding import CLOCK_MARGIN
 from damasklanding.budget.holding import Holding
@@ -18,6 +19,7 @@
 from damasklanding.budget.holding import Waiter
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import OverRate
+from damasklanding.errors import StaleState
 from damasklanding.errors import Unavailable
 from damasklanding.messages import GrantRequest
 from damasklanding.messages import GrantReturn
@@ -28,7 +30,13 @@
 MIN_WAIT_MS = 300  # one time to live of tokens and some round trips
 RETRY_MS = 50  # between attempts to reach the owner
 DRY_PAUSE_MS = 20  # between requests that brought too little
-SWEEP_MS = 25
+SWEEP_MS = 40
+ALONE_MS = 200  # before an owner that did not issue is asked again
+#: Of a node's even part, where the owner says that it does not issue: all
+#: parts together are the whole budget.
+IDLE_OWNER_PORTION = 1.0
+#: The same where the owner is silent and may still issue to other nodes.
+SILENT_OWNER_PORTION = 0.4
 
 
 @dataclass(slots=True)
@@ -51,6 +59,8 @@
     :param name: own name.
     :param spawn: starts a function in the background.
     :param sleep: pauses for a number of seconds.
+    :param shares: :class:`~damasklanding.budget.shares.LocalShares` to admit
+        from while no owner issues; None to refuse then.
     """
 
     def __init__(
@@ -63,6 +73,7 @@
         name,
         spawn=gevent.spawn,
         sleep=gevent.sleep,
+        shares=None,
     ):
         self._view = view
         self._pool = pool
@@ -72,7 +83,9 @@
         self._name = name
         self._spawn = spawn
         self._sleep = sleep
+        self._shares = shares
         self._holdings = {}
+        self._in_use = Event()
         self._sweeper = None
 
     def start(self):
@@ -101,12 +114,17 @@
         holding = self._holdings.get(name)
         if holding is None:
             holding = self._holdings[name] = Holding(name, now_ms)
+            self._in_use.set()
         holding.taken += 1
         if not holding.waiters and holding.take(now_ms):
             if not holding.asking and holding.lots[0].tokens <= holding.low:
                 self._prefetch(holding, now_ms)
             return
-        self._wait(holding, wait_ms, now_ms)
+        if now_ms < holding.alone_until_ms and self._shares.take(
+            organisation, holding.portion, now_ms
+        ):
+            return
+        self._wait(holding, organisation, wait_ms, now_ms)
 
     def sweep(self):
         """Hand back surplus tokens and drop what is no longer in use."""
@@ -121,8 +139,11 @@
 
     def _sweep_loop(self):
         while True:
+            self._in_use.wait()
             gevent.sleep(SWEEP_MS / 1000)
             self.sweep()
+            if not self._holdings:
+                self._in_use.clear()
 
     def _prefetch(self, holding, now_ms):
         if holding.held(now_ms) > holding.low or now_ms < holding.horizon_ms:
@@ -130,12 +151,12 @@
         if holding.wanted(0, now_ms) > 0:
             self._ask(holding)
 
-    def _wait(self, holding, wait_ms, now_ms):
+    def _wait(self, holding, organisation, wait_ms, now_ms):
         limit_ms = max(wait_ms, MIN_WAIT_MS)
         due_ms = holding.horizon_ms - now_ms
         if due_ms > limit_ms:
             raise _over_rate(holding.name, due_ms - wait_ms)
-        waiter = Waiter(now_ms + limit_ms)
+        waiter = Waiter(now_ms + limit_ms, organisation)
         holding.waiters.append(waiter)
         self._ask(holding)
         try:
@@ -173,6 +194,7 @@
             grant = self._request(holding, wanted, waiting, sent_ms)
         except DamasklandingError as error:
             self._metrics.add('grants_total', error.code)
+            self._go_alone(holding, error)
             self._refuse_late(holding, self._now_ms() + RETRY_MS, error)
             return RETRY_MS
         self._receive(holding, grant, sent_ms)
@@ -184,6 +206,23 @@
         self._refuse_late(holding, holding.horizon_ms, None)
         return DRY_PAUSE_MS
 
+    def _go_alone(self, holding, error):
+        """Admit from the node's own part while the owner does not issue."""
+        if self._shares is None:
+            return
+        answered = getattr(error, 'reply', None) is not None
+        portion = SILENT_OWNER_PORTION
+        if answered or isinstance(error, StaleState):
+            portion = IDLE_OWNER_PORTION
+        now_ms = self._now_ms()
+        holding.portion = portion
+        holding.alone_until_ms = now_ms + ALONE_MS
+        holding.admit_some(
+            lambda waiter: self._shares.take(
+                waiter.organisation, portion, now_ms
+            )
+        )
+
     def _request(self, holding, wanted, waiting, now_ms):
         shard = self._view.state.get('budget_shard', holding.shard_name)
         if shard is None or not shard.owner:
--- a/damasklanding/budget/owner.py
+++ b/damasklanding/budget/owner.py
@@ -245,13 +245,19 @@
             self._hand_over(name, tenure, shard)
             tenure = None
         if tenure is None and self.owns(shard):
-            self._begin(name, shard.revision)
+            self._begin(name, shard)
 
     def _continues(self, tenure, shard):
         return self.owns(shard) and shard.revision == tenure.epoch
 
-    def _begin(self, name, epoch):
-        ready_at_ms = self._now_ms() + START_DELAY_MS
+    def _begin(self, name, shard):
+        epoch = shard.revision
+        delay_ms = START_DELAY_MS
+        if shard.previous_owner == self._name:
+            # An earlier process of this name has ended, so that only its
+            # tokens are left.
+            delay_ms = HANDOVER_AGE_MS
+        ready_at_ms = self._now_ms() + delay_ms
         tenure = _Tenure(epoch, ready_at_ms, ready_at_ms)
         self._tenures[name] = tenure
         message, state = self._pending.get(name, (None, None))
--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -249,6 +249,8 @@
         control = daemon.control
         self.view = control.host.view if control else FleetView()
         self.settings = settings
+        self._owners = 0
+        self._counted_at = None
         self.gate = build_gate('', build_limiter=self._limiter(settings))
         self.telemetry = NodeTelemetry(self.gate.load, daemon.metrics)
         self._fresh_limit_ms = settings.fresh_limit_ms
@@ -293,6 +295,7 @@
             monotonic_ms,
             daemon.metrics,
             identity.name,
+            shares=self._shares(settings),
         )
         self.router = Router(
             identity.name,
@@ -370,6 +373,22 @@
         gevent.sleep(LEAVE_SHARE * grace_ms / 1000)
         return STOP_SHARE * grace_ms - LEAVE_SHARE * grace_ms
 
+    def _shares(self, settings):
+        if not settings.serves_platform:
+            return None
+        from damasklanding.budget.shares import LocalShares
+
+        return LocalShares(self._owner_count)
+
+    def _owner_count(self):
+        """Return the number of nodes; each owns some of the shards."""
+        position = self.view.state.position()
+        if self._counted_at != position:
+            shards = self.view.state.all('budget_shard').values()
+            self._owners = len({shard.owner for shard in shards} - {''})
+            self._counted_at = position
+        return self._owners
+
     def _limiter(self, settings):
         from damasklanding.policy.announced import AnnouncedLimiter
         from damasklanding.policy.limiter import Limiter
--- a/damasklanding/control/watch.py
+++ b/damasklanding/control/watch.py
@@ -51,7 +51,8 @@
         """Return whether a resource is within the watcher's interest."""
         if kind != 'backend' or self.all_services:
             return True
-        return resource.service in self.services
+        # Its own registration tells a node whether it has to renew it.
+        return resource.service in self.services or resource.name == self.name
 
 
 class WatcherStatus(msgspec.Struct, frozen=True, kw_only=True):
--- a/damasklanding/fleet/resources.py
+++ b/damasklanding/fleet/resources.py
@@ -225,9 +225,11 @@
     The resource's revision is the fencing epoch of its ownership.
 
     :ivar owner: name of the owning node, empty while none is assigned.
+    :ivar previous_owner: name of the one before it.
     """
 
     owner: str = ''
+    previous_owner: str = ''
     owner_instance: str = ''
     peer_address: str = ''
 
--- a/damasklanding/fleet/shards.py
+++ b/damasklanding/fleet/shards.py
@@ -144,15 +144,17 @@
 
 
 def _give(state, name, backend, revision):
+    known = state.get('budget_shard', name)
+    previous = known.owner if known is not None else ''
     if backend is None:
-        shard = BudgetShard(name=name)
-        known = state.get('budget_shard', name)
         if known is None:
             return []
+        shard = BudgetShard(name=name, previous_owner=previous)
     else:
         shard = BudgetShard(
             name=name,
             owner=backend.name,
+            previous_owner=previous,
             owner_instance=backend.instance,
             peer_address=backend.peer_address,
         )
--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -10,6 +10,7 @@
 from collections import deque
 from contextlib import contextmanager
 from dataclasses import dataclass
+from dataclasses import field
 import socket
 
 import gevent
@@ -31,6 +32,7 @@
 from damasklanding.messages import Cancel
 from damasklanding.messages import Ping
 from damasklanding.messages import Pong
+from damasklanding.rounds import Rounds
 from damasklanding.wire import decode_frame
 from damasklanding.wire import encode_frame
 from damasklanding.wire import frame_length
@@ -121,15 +123,12 @@
         self._delays = _Delays()
         self._reader = None
         self._writer = None
-        tick_s = TICK_MS / 1000
-        self._ticker = gevent.get_hub().loop.timer(tick_s, tick_s)
         self._ticked_ms = self._made_ms
 
     def start(self):
         """Start the reader and the heartbeat."""
         self._reader = gevent.spawn(self._read_loop)
-        # A callback of the loop costs a tenth of a greenlet that sleeps.
-        self._ticker.start(self._tick)
+        self._options.rounds.add(self._tick)
 
     def age_ms(self):
         """Return the time since the link was made."""
@@ -264,7 +263,7 @@
         self._has_room.set()
         self._pongs.set()
         self._readable.close()
-        self._ticker.close()
+        self._options.rounds.remove(self._tick)
         try:
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -492,6 +491,8 @@
     :ivar on_broken: called with link and error when a link fails.
     :ivar on_close: called with the link once it has ended.
     :ivar on_load: called with the link when a load report has come.
+    :ivar rounds: :class:`~damasklanding.rounds.Rounds` that look after the
+        links which share these options.
     """
 
     load: object = _no_load
@@ -499,6 +500,7 @@
     on_broken: object = _ignore
     on_close: object = _ignore
     now_ms: object = monotonic_ms
+    rounds: Rounds = field(default_factory=lambda: Rounds(TICK_MS))
 
 
 def open_link(address, identity, secret, handlers=None, options=None):
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -29,6 +29,8 @@
 
 COLLECTOR_THRESHOLDS = (10_000, 50, 50)
 DRAIN_POLL_MS = 20
+#: A pool in use proves its connections many times a second.
+SUSPECT_AFTER_MS = 1_000
 IDLE_GRACE_MS = 500  # lets idle callers learn that the node leaves
 
 
@@ -109,7 +111,10 @@
             OWN_BACKEND_DIALECT,
         )
         self._upstream = Upstream(
-            settings.backend_address, now_ms, backend_dialect
+            settings.backend_address,
+            now_ms,
+            backend_dialect,
+            SUSPECT_AFTER_MS if dialects else 0,
         )
         self._local = Local(
             settings,
--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -101,15 +101,22 @@
 
     :param address: ``ip:port``, empty where there is none.
     :param dialect: :class:`~damasklanding.node.dialect.BackendDialect`.
+    :param suspect_after_ms: idle time after which a connection may have gone
+        silent; one used more lately is not given up for a slow answer.
     :ivar instance: id of the backend server's present start.
     """
 
     def __init__(
-        self, address, now_ms=monotonic_ms, dialect=OWN_BACKEND_DIALECT
+        self,
+        address,
+        now_ms=monotonic_ms,
+        dialect=OWN_BACKEND_DIALECT,
+        suspect_after_ms=0,
     ):
         self.address = address
         self.instance = ''
         self._dialect = dialect
+        self._suspect_after_ms = suspect_after_ms
         self._host, self._port = parse_address(address or ':0')
         self._now_ms = now_ms
         self._idle = deque()
@@ -148,7 +155,11 @@
         head = self._head(call, token)
         connection = self._take(call.idempotent)
         fresh = connection.used_ms is None
-        may_repeat = call.idempotent and call.body.repeatable()
+        may_repeat = (
+            call.idempotent
+            and call.body.repeatable()
+            and self._is_suspect(connection)
+        )
         try:
             return self._attempt(connection, call, head, may_repeat)
         except UpstreamFailed as error:
@@ -162,11 +173,12 @@
         except BaseException:
             connection.close()
             raise
-        return self._repeat(call, head)
+        return self._repeat(call, token)
 
-    def _repeat(self, call, head):
+    def _repeat(self, call, token):
         """Send a call again that may have run already."""
         call.resent_ms = self._now_ms()
+        head = self._head(call, token)
         usual_ms = self._patience_ms()
         try:
             connection = self._connect()
@@ -185,6 +197,12 @@
             self._silence_seen_ms = call.resent_ms
         return answer
 
+    def _is_suspect(self, connection):
+        if connection.used_ms is None:
+            return not self._suspect_after_ms
+        idle_ms = self._now_ms() - connection.used_ms
+        return idle_ms >= self._suspect_after_ms
+
     def _may_resend(self, call, error):
         if type(error) is not UpstreamFailed or not error.silent:
             return False
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -277,3 +277,40 @@
     for job in hanging:
         assert isinstance(job.exception, ConnectionSilent)
         assert job.exception.outcome == 'unknown'
+
+
+def deadline_of(request):
+    head = request.decode()
+    return int(head.split('damasklanding-deadline-ms: ')[1].split('\r')[0])
+
+
+def test_second_sending_tells_the_time_left_then():
+    requests = []
+
+    def serve(sock):
+        while data := sock.recv(65_536):
+            requests.append(data)
+            if len(requests) != 2:
+                sock.sendall(OK)
+
+    upstream = Upstream(Raw(serve).address)
+    upstream.call(a_call(), 't')
+    upstream.call(a_call(), 't')
+    first, second = map(deadline_of, requests[1:])
+    assert second <= first - 250
+
+
+def test_slow_answer_on_a_connection_in_use_is_waited_for():
+    requests = []
+
+    def serve(sock):
+        while sock.recv(65_536):
+            requests.append(sock)
+            if len(requests) == 2:
+                gevent.sleep(0.5)
+            sock.sendall(OK)
+
+    upstream = Upstream(Raw(serve).address, suspect_after_ms=1_000)
+    upstream.call(a_call(), 't')
+    assert upstream.call(a_call(), 't').body == b'ok'
+    assert len(requests) == 2
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -189,3 +189,20 @@
     assert len(applied) < 30
     client.stop()
     source.server.stop()
+
+
+def test_node_learns_its_own_registration_without_wanting_a_service():
+    source = Source()
+    source.view.apply(1, 5, [Change.put('backend', backend('node-b', 'desk'))])
+    source.fresh()
+    client, view = follow(source.address)
+    wait_for(lambda: view.state.revision == 5)
+    source.view.apply(1, 6, [Change.put('backend', backend('node-a', 'desk'))])
+    wait_for(lambda: view.state.revision == 6)
+    assert list(view.state.all('backend')) == ['node-a']
+    client.stop()
+    client, view = follow(source.address)
+    wait_for(lambda: view.state.revision == 6)
+    assert list(view.state.all('backend')) == ['node-a']
+    client.stop()
+    source.server.stop()
