--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,50 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from damasklanding.budget.shares import LocalShares
+from damasklanding.fleet.resources import Organisation
+
+RATE_PER_S = 70.0
+BURST = 140
+
+
+def organisation():
+    return Organisation(
+        name='lender', rate_per_s=RATE_PER_S, burst_requests=BURST
+    )
+
+
+@given(
+    node_count=st.integers(1, 14),
+    gaps_ms=st.lists(st.floats(0, 400), min_size=1, max_size=300),
+)
+def test_all_parts_together_stay_within_the_budget(node_count, gaps_ms):
+    nodes = [LocalShares(lambda: node_count) for _ in range(node_count)]
+    admitted_ms = []
+    now_ms = 0.0
+    for gap_ms in gaps_ms:
+        now_ms += gap_ms
+        for node in nodes:
+            while node.take(organisation(), 1.0, now_ms):
+                admitted_ms.append(now_ms)
+    for start_ms in set(admitted_ms):
+        within = [t for t in admitted_ms if start_ms <= t <= start_ms + 5_000]
+        assert len(within) <= RATE_PER_S * 5 + BURST + 1e-6
+
+
+def test_part_follows_the_portion():
+    node = LocalShares(lambda: 10)
+    taken = 0
+    for now_ms in range(0, 60_000, 5):
+        taken += node.take(organisation(), 0.5, float(now_ms))
+    expected = 0.05 * (60 * RATE_PER_S + BURST)
+    assert abs(taken - expected) <= 2
+
+
+def test_new_nodes_make_the_parts_smaller():
+    counts = [1]
+    node = LocalShares(lambda: counts[0])
+    assert sum(node.take(organisation(), 1.0, 0.0) for _ in range(500)) == 140
+    counts[0] = 100
+    taken = sum(node.take(organisation(), 1.0, 1_000.0) for _ in range(500))
+    assert taken <= 2
