--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -237,7 +237,6 @@
         from damasklanding.node.view import FleetView
         from damasklanding.node.watch import WatchClient
         from damasklanding.policy.gate import build_gate
-        from damasklanding.policy.pressure import Pressure
         from damasklanding.policy.retry import RetryBudget
         from damasklanding.policy.routing import Router
         from damasklanding.policy.work import decode_load
@@ -315,7 +314,7 @@
             self.holdings,
             ClaimClient(client, monotonic_ms, daemon.metrics),
             daemon.metrics,
-            Pressure(monotonic_ms, random.Random(identity.instance).random),
+            self._pressure(settings, random.Random(identity.instance).random),
             on_announce=self.registration.announce,
             want=self.watch.want,
             dialects=_dialects(settings),
@@ -373,6 +372,14 @@
         gevent.sleep(LEAVE_SHARE * grace_ms / 1000)
         return STOP_SHARE * grace_ms - LEAVE_SHARE * grace_ms
 
+    def _pressure(self, settings, draw):
+        from damasklanding.policy.pressure import CHAIN_HEADROOM
+        from damasklanding.policy.pressure import HEADROOM
+        from damasklanding.policy.pressure import Pressure
+
+        headroom = CHAIN_HEADROOM if settings.serves_platform else HEADROOM
+        return Pressure(monotonic_ms, draw, headroom)
+
     def _shares(self, settings):
         if not settings.serves_platform:
             return None
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -7,12 +7,14 @@
 
 from dataclasses import replace
 import gc
+from itertools import count
 from random import Random
 
 import gevent
 import msgspec
 
 from damasklanding.node.calls import CallTable
+from damasklanding.node.calls import random_token
 from damasklanding.node.dialect import OWN_BACKEND_DIALECT
 from damasklanding.node.egress import Egress
 from damasklanding.node.entry import Entry
@@ -105,7 +107,8 @@
         self._on_announce = on_announce
         self._metrics = metrics
         now_ms = view.now_ms
-        self._table = CallTable()
+        # Without an egress listener nobody sees the tokens.
+        self._table = CallTable(count().__next__ if dialects else random_token)
         caller_dialect, backend_dialect = dialects or (
             None,
             OWN_BACKEND_DIALECT,
@@ -146,6 +149,8 @@
                 caller_dialect,
                 forwarder,
                 holdings,
+                pressure,
+                self._table,
                 want,
                 metrics,
                 Random(settings.name),
--- a/damasklanding/node/calls.py
+++ b/damasklanding/node/calls.py
@@ -13,7 +13,14 @@
 
 from damasklanding.errors import Forbidden
 
-__all__ = ['Allowance', 'Call', 'CallTable', 'ParentEnded', 'RunningCall']
+__all__ = [
+    'Allowance',
+    'Call',
+    'CallTable',
+    'ParentEnded',
+    'RunningCall',
+    'random_token',
+]
 
 TOKEN_BYTES = 12
 
@@ -138,28 +145,53 @@
         self.may_retry = self.may_retry and may_retry
 
 
+def random_token():
+    """Return a context token that no one can guess."""
+    return os.urandom(TOKEN_BYTES).hex()
+
+
 class CallTable:
-    """Running calls by context token."""
+    """
+    Running calls by context token.
+
+    :param new_token: function that returns a token for each call.
+    """
 
-    def __init__(self):
+    def __init__(self, new_token=random_token):
         self._running = {}
+        self._by_request = {}
+        self._new_token = new_token
 
     def __len__(self):
         return len(self._running)
 
     def enter(self, call, slot):
         """Enter a call that is about to run; :meth:`leave` ends it."""
-        token = os.urandom(TOKEN_BYTES).hex()
+        token = self._new_token()
         running = RunningCall(call, token, slot)
         self._running[token] = running
+        self._by_request[call.request_id] = running
         return running
 
     def leave(self, running):
         """Take a call off and cancel its onward calls that are still open."""
         self._running.pop(running.token, None)
+        request_id = running.call.request_id
+        if self._by_request.get(request_id) is running:
+            del self._by_request[request_id]
         for greenlet in running.children:
             greenlet.kill(ParentEnded, block=False)
 
+    def parent_of(self, request_id):
+        """
+        Return the running call that a request was made by, None if unknown.
+
+        :param request_id: begins with that of the running call and a dot
+            where the backend server names its calls so.
+        """
+        parent_id, _, own = request_id.rpartition('.')
+        return self._by_request.get(parent_id) if own else None
+
     def find(self, token):
         """
         Return the running call with a context token.
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -31,10 +31,11 @@
 from damasklanding.node.once import Once
 from damasklanding.node.view import key_digest
 
-__all__ = ['Entry']
+__all__ = ['OVERLOAD_CODES', 'Entry']
 
 REQUEST_ID_BYTES = 8
-_OVERLOAD_CODES = frozenset(
+#: Codes of failures for lack of slots or time along the chain.
+OVERLOAD_CODES = frozenset(
     (Overloaded.code, DeadlineExceeded.code, UpstreamTimeout.code)
 )
 
@@ -233,7 +234,7 @@
     def _note_pressure(self, passage, answer, reason):
         # A failed answer that no retry would mend is that of a chain which
         # was refused, or ran out of time or retries, further down.
-        overloaded = reason in _OVERLOAD_CODES or (
+        overloaded = reason in OVERLOAD_CODES or (
             answer.status >= 500 and not answer.may_retry
         )
         call = passage.call
--- a/damasklanding/node/http.py
+++ b/damasklanding/node/http.py
@@ -299,6 +299,9 @@
     :ivar draining: once true, each answer closes its connection.
     """
 
+    #: One connection a wake-up: a second attempt mostly finds none.
+    max_accept = 1
+
     def __init__(self, address, application, limits, on_bad_input):
         super().__init__(
             parse_address(address),
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -20,6 +20,7 @@
 from damasklanding.node.bodies import body_from_request
 from damasklanding.node.calls import Allowance
 from damasklanding.node.calls import Call
+from damasklanding.node.entry import OVERLOAD_CODES
 from damasklanding.node.http import status_line
 from damasklanding.node.view import key_digest
 from damasklanding.policy.split import choose_part
@@ -36,6 +37,8 @@
     :param dialect: :class:`~damasklanding.node.dialect.CallerDialect`.
     :param forwarder: :class:`~damasklanding.node.forward.Forwarder`.
     :param holdings: :class:`~damasklanding.budget.holdings.Holdings`.
+    :param pressure: :class:`~damasklanding.policy.pressure.Pressure`.
+    :param table: :class:`~damasklanding.node.calls.CallTable`.
     :param want: function that makes a service's backend servers known.
     :param random: :class:`random.Random`.
     """
@@ -47,6 +50,8 @@
         dialect,
         forwarder,
         holdings,
+        pressure,
+        table,
         want,
         metrics,
         random,
@@ -56,6 +61,8 @@
         self._dialect = dialect
         self._forwarder = forwarder
         self._holdings = holdings
+        self._pressure = pressure
+        self._table = table
         self._want = want
         self._metrics = metrics
         self._random = random
@@ -74,6 +81,8 @@
                 error.outcome = NOT_RUN
             answer = self._dialect.refusal(error)
             reason = error.code
+        if passage.checked:
+            self._note_pressure(passage.call, answer, reason)
         self._metrics.add(
             'requests_total',
             passage.service,
@@ -110,6 +119,11 @@
         passage.call = call
         with self._followed(call, request):
             self._take(call, organisation, profile)
+            if organisation is not None:
+                self._pressure.check(
+                    call.service, call.profile, call.importance
+                )
+                passage.checked = True
             self._make_known(call.service)
             return self._forwarder.forward(call)
 
@@ -128,7 +142,13 @@
         if head.deadline_ms is not None:
             timeout_ms = min(timeout_ms, head.deadline_ms)
         importance = profile.importance
-        if organisation is not None and organisation.importance is not None:
+        parent = None
+        if organisation is None:
+            # A call keeps the importance of the request that it is part of.
+            parent = self._table.parent_of(head.request_id)
+        if parent is not None:
+            importance = parent.call.importance
+        elif organisation is not None and organisation.importance is not None:
             importance = organisation.importance
         return Call(
             request_id=head.request_id,
@@ -156,6 +176,13 @@
             wait_ms = min(profile.longest_wait_ms, int(left_ms))
             self._holdings.take(organisation, wait_ms)
 
+    def _note_pressure(self, call, answer, reason):
+        # A backend server that fails has mostly had a call refused.
+        overloaded = reason in OVERLOAD_CODES or answer.status >= 500
+        self._pressure.note(
+            call.service, call.profile, call.importance, overloaded
+        )
+
     def _make_known(self, service):
         if service not in self._wanted:
             self._want(service)
@@ -169,12 +196,17 @@
 
 
 class _Passage:
-    """What is known of a request so far."""
+    """
+    What is known of a request so far.
+
+    :ivar checked: whether it was let through by rate and pressure.
+    """
 
-    __slots__ = ('call', 'organisation', 'profile', 'service')
+    __slots__ = ('call', 'checked', 'organisation', 'profile', 'service')
 
     def __init__(self):
         self.call = None
+        self.checked = False
         self.organisation = ''
         self.profile = ''
         self.service = ''
--- a/damasklanding/platform/documents.py
+++ b/damasklanding/platform/documents.py
@@ -15,12 +15,13 @@
 from damasklanding.errors import BadInput
 from damasklanding.fleet.commands import ApplyConfiguration
 from damasklanding.fleet.configurations import CONFIGURATION
+from damasklanding.fleet.derived import importance_of_rank
+from damasklanding.fleet.derived import route_profile
 from damasklanding.fleet.resources import Configuration
 from damasklanding.fleet.resources import HostRoute
 from damasklanding.fleet.resources import Key
 from damasklanding.fleet.resources import Organisation
 from damasklanding.fleet.resources import Part
-from damasklanding.fleet.resources import Profile
 from damasklanding.fleet.resources import Service
 from damasklanding.options import parse_duration_ms
 
@@ -28,10 +29,7 @@
 
 MAX_TIMEOUT_MS = 600_000  # ten minutes, the platform's bound
 MAX_AIM_OVER_TIMEOUT_MS = 60_000  # a minute, the platform's bound
-MAX_IMPORTANCE = 3
 DEFAULT_IDLE_TIMEOUT_MS = 15_000
-#: Share of the aim that a request may wait for a slot.
-WAIT_SHARE = 0.5
 #: For organisations without a limit, whose rate is not looked at.
 NO_RATE = 1.0
 
@@ -183,11 +181,6 @@
         raise BadInput(f'{field} is {text!r}, {error}') from error
 
 
-def _importance(priority):
-    """Return the product's importance, where higher goes first."""
-    return max(0, MAX_IMPORTANCE - max(0, priority))
-
-
 def _profile(rule):
     action = rule.action
     timeout_ms = _ms('timeout', action.timeout)
@@ -208,18 +201,14 @@
             f'routeType is {rule.route_type!r}',
             'give idempotent or non_idempotent',
         )
-    profile = Profile(
-        name='derived',
-        importance=_importance(rule.priority),
+    return route_profile(
+        importance=importance_of_rank(rule.priority),
         idempotent=rule.route_type == 'idempotent',
-        longest_wait_ms=round(WAIT_SHARE * aim_ms),
         timeout_ms=timeout_ms,
-        retries=min(3, max(0, action.max_attempts - 1)),
-        objective_latency_ms=max(1, aim_ms),
-        discipline='fifo',
+        aim_ms=aim_ms,
+        attempts=action.max_attempts,
+        keyless=rule.public,
     )
-    digest = hashlib.sha256(msgspec.json.encode(profile)).hexdigest()
-    return msgspec.structs.replace(profile, name=f'p-{digest[:16]}')
 
 
 def _route(host, rule, profile, services):
@@ -265,7 +254,7 @@
     limited = tenant.rate_per_s > 0 or tenant.burst > 0
     importance = None
     if tenant.priority is not None:
-        importance = _importance(tenant.priority)
+        importance = importance_of_rank(tenant.priority)
     return Organisation(
         name=tenant.name,
         rate_per_s=tenant.rate_per_s or NO_RATE,
--- a/damasklanding/policy/pressure.py
+++ b/damasklanding/policy/pressure.py
@@ -11,7 +11,7 @@
 
 from damasklanding.errors import Overloaded
 
-__all__ = ['Pressure', 'RefusalLevels']
+__all__ = ['CHAIN_HEADROOM', 'HEADROOM', 'Pressure', 'RefusalLevels']
 
 MEMORY_MS = 500.0  # time constant after which what was seen fades
 LEAST_REFUSED = 3.0
@@ -19,6 +19,8 @@
 LEVELS = 4
 
 HEADROOM = 3.0
+#: The same where a request that fails has cost several calls of its chain.
+CHAIN_HEADROOM = 1.3
 LEAST_REQUESTS = 5.0
 MOST_REFUSED_SHARE = 0.95  # what is left probes for the end of the overload
 RETRY_AFTER_MS = 500
@@ -87,22 +89,27 @@
 
     :param now_ms: clock.
     :param random: function that returns a float in [0, 1).
+    :param headroom: requests let through for each answer.
     """
 
-    def __init__(self, now_ms, random):
+    def __init__(self, now_ms, random, headroom=HEADROOM):
         self._now_ms = now_ms
         self._random = random
+        self._headroom = headroom
         self._routes = {}
 
     def check(self, service, profile, importance):
         """
-        Count a request that arrives, and refuse it where its like fail.
+        Refuse a request that arrives where its like fail.
+
+        One that is let through counts once it has ended: counted before, a
+        sudden demand would look like one that gets no answers.
 
         :raises Overloaded: not run.
         """
         route = self._route(service, profile, importance)
-        route.bad += 1.0
-        if self._random() < _refused_share(route):
+        if self._random() < _refused_share(route, self._headroom):
+            route.bad += 1.0
             raise Overloaded(
                 f'requests like this one to {service} are shed further down',
                 retry_after_ms=RETRY_AFTER_MS,
@@ -114,12 +121,15 @@
 
         :param overloaded: whether its chain was refused for lack of slots.
         """
+        route = self._route(service, profile, importance)
+        route.bad += 1.0
         if not overloaded:
-            self._route(service, profile, importance).good += 1.0
+            route.good += 1.0
 
     def refused_share(self, service, profile, importance):
         """Return the share of such requests that is refused now."""
-        return _refused_share(self._route(service, profile, importance))
+        route = self._route(service, profile, importance)
+        return _refused_share(route, self._headroom)
 
     def _route(self, service, profile, importance):
         now_ms = self._now_ms()
@@ -131,9 +141,9 @@
         return route
 
 
-def _refused_share(route):
+def _refused_share(route, headroom):
     """Return the share by requests (bad) and answers (good)."""
     if route.bad < LEAST_REQUESTS:
         return 0.0
-    excess = route.bad - HEADROOM * route.good - LEAST_REQUESTS
+    excess = route.bad - headroom * route.good - LEAST_REQUESTS
     return min(MOST_REFUSED_SHARE, max(0.0, excess / (route.bad + 1.0)))
--- a/tests/test_pressure.py
+++ b/tests/test_pressure.py
@@ -3,6 +3,7 @@
 import pytest
 
 from damasklanding.errors import Overloaded
+from damasklanding.policy.pressure import CHAIN_HEADROOM
 from damasklanding.policy.pressure import HEADROOM
 from damasklanding.policy.pressure import LEAST_REQUESTS
 from damasklanding.policy.pressure import MEMORY_MS
@@ -81,3 +82,22 @@
     assert levels.shed_below() == 2
     clock[0] += 5_000
     assert levels.shed_below() == 0
+
+
+def test_sudden_demand_with_slow_answers_is_not_refused(pressure, clock):
+    for _ in range(200):  # 40 a second, none of them answered yet
+        clock[0] += 25.0
+        pressure.check('catalog', 'browse', 1)
+    assert pressure.refused_share('catalog', 'browse', 1) == 0.0
+
+
+def test_little_headroom_wastes_little_work_on_chains_that_fail(clock):
+    def answered_one_in_five(index):
+        return index % 5 == 0
+
+    passed = {}
+    for headroom in (HEADROOM, CHAIN_HEADROOM):
+        draw = random.Random(1).random
+        pressure = Pressure(lambda: clock[0], draw, headroom)
+        passed[headroom] = run(pressure, clock, 40, 100, answered_one_in_five)
+    assert passed[CHAIN_HEADROOM] < 0.75 * passed[HEADROOM]
