Log decisions, stop within the grace time, and test the whole path

Causes: - The users ask for a line for each decision that touches a request, on standard output; there was none.

tests/test_platform_path.py runs the real programs as processes.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from damasklanding.clock import monotonic_ms
+from damasklanding.decisions import DecisionLog
 from damasklanding.link import Identity
 from damasklanding.link import LinkOptions
 from damasklanding.link import parse_address
@@ -29,7 +30,8 @@
 #: Shares of the time from SIGTERM to SIGKILL: callers are sent away within
 #: two questions a second apart, and the last tenth is for closing.
 LEAVE_SHARE = 0.45
-STOP_SHARE = 0.85
+STOP_SHARE = 0.8
+CLOSE_SHARE = 0.1
 
 
 class DaemonStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -59,16 +61,23 @@
     load: object
 
 
+def _no_line(_line):
+    return None
+
+
 class Daemon:
     """
     One daemon process with the roles of its settings.
 
+    :param write_line: function of a log line that never blocks.
+
     :ivar control: parts of the control role, or None.
     :ivar node: parts of the node role, or None.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, write_line=_no_line):
         self.settings = settings
+        self.write_line = write_line
         self.metrics = Metrics()
         self.control = None
         self.node = None
@@ -318,6 +327,9 @@
             on_announce=self.registration.announce,
             want=self.watch.want,
             dialects=_dialects(settings),
+            decisions=DecisionLog(
+                daemon.write_line, settings.name, monotonic_ms
+            ),
         )
         self.services = []
         self.leaving = False
@@ -346,15 +358,21 @@
         """Leave the fleet, let running requests end, then stop."""
         self.leaving = True
         self.registration.leave()
+        handover_ms = min(drain_timeout_ms, HANDOVER_TIMEOUT_MS)
         if self.settings.serves_platform:
+            grace_ms = self.settings.stop_grace_ms
             drain_timeout_ms = self._serve_on()
+            handover_ms = CLOSE_SHARE * grace_ms
         self.node.drain(drain_timeout_ms)
-        self.owner.drain(min(drain_timeout_ms, HANDOVER_TIMEOUT_MS))
+        # Without a quorum neither ends by itself; the lease ends both.
+        with gevent.Timeout(handover_ms / 1000, False):
+            self.owner.drain(handover_ms)
+            self.registration.withdraw()
+        self.registration.stop()
         self.holdings.stop()
-        self.registration.withdraw()
         self.watch.stop()
         for service in self.services:
-            service.stop()
+            service.stop(timeout=0)
         self.node.stop()
 
     def not_ready(self):
--- a/damasklanding/daemon.py
+++ b/damasklanding/daemon.py
@@ -21,9 +21,14 @@
     from loguru import logger
 
     from damasklanding.composition import Daemon
+    from damasklanding.lines import LineWriter
     from damasklanding.logs import configure_logs
 
-    configure_logs(settings.log_level, settings.log_json, settings.name)
+    writer = LineWriter(sys.stdout.fileno())
+    writer.start()
+    configure_logs(
+        settings.log_level, settings.log_json, settings.name, writer.write
+    )
     stopping = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stopping.set)
@@ -32,13 +37,14 @@
     gevent.signal_handler(
         signal.SIGHUP, logger.info, 'the settings file may have changed'
     )
-    daemon = Daemon(settings)
+    daemon = Daemon(settings, writer.write)
     daemon.start()
     logger.info('started with roles {}', ','.join(settings.roles))
     stopping.wait()
     logger.info('stopping as planned')
     daemon.stop()
     logger.info('stopped')
+    writer.flush()
 
 
 def main():
--- a/damasklanding/logs.py
+++ b/damasklanding/logs.py
@@ -2,7 +2,7 @@
 damasklanding.logs
 ~~~~~~~~~~~~~~~~~~
 
-Log lines on standard error, as text or as one JSON object a line.  Counters
+Log lines on standard output, as text or as one JSON object a line.  Counters
 come first; lines are for changes of state.  Keys, tokens and secrets are
 masked before a line is written.
 """
@@ -47,15 +47,15 @@
 
 def configure_logs(level='info', as_json=False, process='', sink=None):
     """
-    Send all log lines to standard error.
+    Send all log lines to standard output.
 
     :param level: lowest level that is written.
     :param as_json: one JSON object a line in place of text.
     :param process: name of this process in the fleet.
-    :param sink: function of one line, in place of standard error.
+    :param sink: function of one line, in place of standard output.
     """
     form = _json_line if as_json else _text_line
-    write = sink or _write_to_stderr
+    write = sink or _write_to_stdout
 
     def emit(message):
         write(form(message.record, process))
@@ -71,9 +71,9 @@
     )
 
 
-def _write_to_stderr(line):
-    sys.stderr.write(line + '\n')
-    sys.stderr.flush()
+def _write_to_stdout(line):
+    sys.stdout.write(line + '\n')
+    sys.stdout.flush()
 
 
 def _error_text(record):
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -79,6 +79,8 @@
     :param on_announce: called with each
         :class:`~damasklanding.node.registration.Announcement`.
     :param want: function of a service's name, called before its first use.
+    :param decisions: :class:`~damasklanding.decisions.DecisionLog`; None
+        logs none.
     :param dialects: pair of
         :class:`~damasklanding.node.dialect.CallerDialect` and
         :class:`~damasklanding.node.dialect.BackendDialect` where callers
@@ -101,6 +103,7 @@
         on_announce=_nothing,
         want=_nothing,
         dialects=None,
+        decisions=None,
     ):
         self.service = ''
         self._out = False
@@ -132,6 +135,7 @@
             metrics,
             now_ms,
             self._lose_backend if dialects else _nothing,
+            decisions,
         )
         peers = PeerCaller(pool, now_ms)
         forwarder = Forwarder(
@@ -157,6 +161,7 @@
                 want,
                 metrics,
                 Random(settings.name),
+                decisions,
             )
             view.subscribe(self._follow_limits)
             view.subscribe(self._follow_data_centre)
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -8,6 +8,7 @@
 
 from contextlib import contextmanager
 
+from damasklanding.decisions import Decision
 from damasklanding.errors import BadInput
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import DeadlineExceeded
@@ -28,6 +29,9 @@
 __all__ = ['Ingress']
 
 NO_CONFIGURATION_RETRY_MS = 200
+#: Reasons of answers that came from a backend server.
+OK = 'ok'
+FAILED = 'failed'
 
 
 class Ingress:
@@ -41,6 +45,7 @@
     :param table: :class:`~damasklanding.node.calls.CallTable`.
     :param want: function that makes a service's backend servers known.
     :param random: :class:`random.Random`.
+    :param decisions: :class:`~damasklanding.decisions.DecisionLog`, or None.
     """
 
     def __init__(
@@ -55,6 +60,7 @@
         want,
         metrics,
         random,
+        decisions=None,
     ):
         self._settings = settings
         self._view = view
@@ -66,23 +72,26 @@
         self._want = want
         self._metrics = metrics
         self._random = random
+        self._decisions = decisions
         self._now_ms = view.now_ms
         self._wanted = set()
 
     def application(self, environ, start_response):
         """Answer one request; a WSGI application."""
         request = environ['damasklanding.request']
-        passage = _Passage()
+        passage = _Passage(self._now_ms())
+        detail = ''
         try:
             answer = _trusted(self._answer(request, passage))
-            reason = 'ok' if answer.status < 500 else 'failed'
+            reason = OK if answer.status < 500 else FAILED
         except DamasklandingError as error:
+            detail = error.problem
             if passage.call is None or passage.call.untouched():
                 error.outcome = NOT_RUN
             answer = self._dialect.refusal(error)
             reason = error.code
         if passage.checked:
-            self._note_pressure(passage.call, answer, reason)
+            self._note_pressure(passage.call, reason)
         self._metrics.add(
             'requests_total',
             passage.service,
@@ -91,6 +100,8 @@
             answer.outcome,
             reason,
         )
+        if reason != OK and self._decisions is not None:
+            self._log(request, passage, answer, reason, detail)
         start_response(status_line(answer.status), self._dialect.pairs(answer))
         if answer.parts is None:
             return (answer.body,)
@@ -179,9 +190,34 @@
             wait_ms = min(profile.longest_wait_ms, int(left_ms))
             self._holdings.take(organisation, wait_ms)
 
-    def _note_pressure(self, call, answer, reason):
-        # A backend server that fails has mostly had a call refused.
-        overloaded = reason in OVERLOAD_CODES or answer.status >= 500
+    def _log(self, request, passage, answer, reason, detail):
+        call = passage.call
+        now_ms = self._now_ms()
+        age_ms = self._view.age_ms()
+        configuration = self._view.configuration()
+        self._decisions.note(
+            Decision(
+                event='answered',
+                request_id=self._dialect.read(request).request_id,
+                reason=reason,
+                outcome=answer.outcome,
+                service=passage.service,
+                organisation=passage.organisation,
+                importance=call.importance if call else 0,
+                status=answer.status,
+                attempts=call.attempt if call else 0,
+                took_ms=int(now_ms - passage.arrived_ms),
+                left_ms=int(call.deadline_at_ms - now_ms) if call else 0,
+                config_version=configuration.version if configuration else 0,
+                view_age_ms=-1 if age_ms == float('inf') else int(age_ms),
+                detail=detail,
+            )
+        )
+
+    def _note_pressure(self, call, reason):
+        # A backend server that fails has mostly had a call refused; one that
+        # drains or can't be reached says nothing about load.
+        overloaded = reason in OVERLOAD_CODES or reason == FAILED
         self._pressure.note(
             call.service, call.profile, call.importance, overloaded
         )
@@ -202,12 +238,21 @@
     """
     What is known of a request so far.
 
+    :ivar arrived_ms: when its head had been read.
     :ivar checked: whether it was let through by rate and pressure.
     """
 
-    __slots__ = ('call', 'checked', 'organisation', 'profile', 'service')
+    __slots__ = (
+        'arrived_ms',
+        'call',
+        'checked',
+        'organisation',
+        'profile',
+        'service',
+    )
 
-    def __init__(self):
+    def __init__(self, arrived_ms):
+        self.arrived_ms = arrived_ms
         self.call = None
         self.checked = False
         self.organisation = ''
--- a/damasklanding/node/local.py
+++ b/damasklanding/node/local.py
@@ -8,6 +8,7 @@
 
 from contextlib import ExitStack
 
+from damasklanding.decisions import Decision
 from damasklanding.errors import BadInput
 from damasklanding.errors import ConnectionSilent
 from damasklanding.errors import DamasklandingError
@@ -67,6 +68,7 @@
     :param upstream: :class:`~damasklanding.node.upstream.Upstream`.
     :param table: :class:`~damasklanding.node.calls.CallTable`.
     :param on_unreachable: called when it takes no connection.
+    :param decisions: :class:`~damasklanding.decisions.DecisionLog`, or None.
     :ivar draining: whether new work is refused.
     """
 
@@ -81,6 +83,7 @@
         metrics,
         now_ms,
         on_unreachable=_nothing,
+        decisions=None,
     ):
         self.draining = False
         self._settings = settings
@@ -92,6 +95,7 @@
         self._metrics = metrics
         self._now_ms = now_ms
         self._on_unreachable = on_unreachable
+        self._decisions = decisions
 
     def serve(self, call):
         """
@@ -118,6 +122,8 @@
                     answer.release = stack.pop_all().close
         except DamasklandingError as error:
             self._count(call, error.code)
+            if self._decisions is not None:
+                self._log(call, error)
             raise
         self._count(call, 'ok' if answer.status < 500 else 'failed')
         answer.retries_left = call.allowance.left
@@ -153,6 +159,26 @@
             answer.parts = _finish_after(answer.parts, slot, result)
         return answer
 
+    def _log(self, call, error):
+        load = self._gate.load()
+        refused = error.outcome == NOT_RUN
+        self._decisions.note(
+            Decision(
+                event='refused' if refused else 'failed',
+                request_id=call.request_id,
+                reason=error.code,
+                outcome=error.outcome,
+                service=call.service,
+                organisation=call.organisation,
+                importance=call.importance,
+                attempts=call.attempt,
+                left_ms=int(call.deadline_at_ms - self._now_ms()),
+                running=load.running,
+                queued=load.queued,
+                detail=error.problem,
+            )
+        )
+
     def _service_time_ms(self, call):
         """Return the time since a resend, None without one."""
         if call.resent_ms is None:
--- /dev/null
+++ b/tests/platform_fleet.py
@@ -0,0 +1,294 @@
+"""
+platform_fleet
+~~~~~~~~~~~~~~
+
+The real programs as processes on loopback addresses, with stand-ins for the
+platform's backend servers, callers and operators.
+"""
+
+from contextlib import contextmanager
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import gevent
+from gevent.server import StreamServer
+
+SECRET = 'a-secret-of-the-tests'
+KEY = '6wsjnbanfqasnmgkcuyj'
+PEER_PORT = 17_000
+CALLER_PORT = 17_001
+ANNOUNCE_PORT = 17_002
+READY_PORT = 17_003
+BACKEND_PORT = 17_004
+OPERATOR_PORT = 17_005
+SERVICES = ('desk', 'ledger')
+
+
+def rule(name, prefix, service, kind='idempotent', public=False):
+    return {
+        'name': name,
+        'routeType': kind,
+        'targetLatency': '1000ms',
+        'priority': 0,
+        'public': public,
+        'match': {'pathPrefix': prefix},
+        'action': {'service': service, 'timeout': '2s', 'maxAttempts': 2},
+    }
+
+
+def document(version, base, extra=()):
+    rules = [
+        rule('r-1', '/desk/', 'desk'),
+        rule('r-2', '/once/', 'ledger', kind='non_idempotent'),
+        rule('r-3', '/inner/', 'ledger', public=True),
+        *extra,
+    ]
+    return {
+        'version': f'{version:08x}',
+        'baseVersion': f'{base:08x}',
+        'limits': {'idleTimeout': '15000ms'},
+        'tenants': [
+            {'name': 'lender', 'apiKeys': [KEY], 'ratePerS': 500, 'burst': 500}
+        ],
+        'listeners': [{'host': 'h.example', 'rules': rules}],
+        'clusters': [
+            {
+                'name': service,
+                'healthPath': '/healthz',
+                'maxConnections': 100,
+                'warmup': '3s',
+                'warmupPerS': 50.0,
+            }
+            for service in SERVICES
+        ],
+    }
+
+
+class Backend:
+    """
+    A stand-in backend server.
+
+    :ivar requests: heads that it has read, as dicts by lower-case name.
+    """
+
+    def __init__(self, address, instance):
+        self.address = address
+        self.instance = instance
+        self.requests = []
+        self.work_s = 0.0
+        self._server = StreamServer(address, self._serve, backlog=64)
+        self._server.start()
+
+    def stop(self):
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, _peer):
+        file = sock.makefile('rb')
+        while head := self._read_head(file):
+            self.requests.append(head)
+            gevent.sleep(self.work_s)
+            expected = head.get('damasklanding-expected-instance')
+            if expected not in (None, self.instance):
+                sock.sendall(_reply(head, '421 Misdirected', b'', signed=''))
+            else:
+                sock.sendall(_reply(head, '200 OK', b'whole', signed='s.1'))
+
+    def _read_head(self, file):
+        line = file.readline()
+        if not line:
+            return None
+        head = {'line': line.decode().strip()}
+        while (line := file.readline()) not in (b'\r\n', b''):
+            name, _, value = line.decode().partition(':')
+            head[name.lower()] = value.strip()
+        file.read(int(head.get('content-length', 0)))
+        return head
+
+
+def _reply(head, status, body, signed):
+    lines = [
+        f'HTTP/1.1 {status}',
+        f'Damasklanding-Attempt-Id: {head.get("damasklanding-attempt-id")}',
+        f'Content-Length: {len(body)}',
+    ]
+    if signed:
+        lines.append(f'Damasklanding-Server-Signature: {signed}')
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+class PlatformFleet:
+    """
+    Three control hosts and a node for each of two services.
+
+    :ivar grace_s: time from SIGTERM within which a process is to end.
+    """
+
+    grace_s = 3
+
+    def __init__(self, folder):
+        self.folder = str(folder)
+        self.net = f'127.{os.getpid() % 200 + 20}'
+        self.control = [f'{self.net}.1.{n}' for n in (1, 2, 3)]
+        self.nodes = [f'{self.net}.2.{n}' for n in (1, 2)]
+        self.processes = {}
+        self.backends = [
+            Backend((ip, BACKEND_PORT), f'i-{number}')
+            for number, ip in enumerate(self.nodes)
+        ]
+        self.sequence = 0
+
+    def start(self):
+        for ip in self.control + self.nodes:
+            self.run(ip)
+
+    def run(self, ip):
+        path = os.path.join(self.folder, f'{ip}.env')
+        with open(path, 'w', encoding='utf-8') as file:
+            file.write('\n'.join(self._settings(ip)))
+        with open(os.path.join(self.folder, f'{ip}.log'), 'ab') as log:
+            self.processes[ip] = subprocess.Popen(
+                [sys.executable, '-m', 'damasklanding.daemon'],
+                env={**os.environ, 'DAMASKLANDING_CONFIG': path},
+                stdout=log,
+                stderr=log,
+            )
+
+    def _settings(self, ip):
+        common = {
+            'INTERFACE': 'platform',
+            'DATA_CENTRE': 'kushiro',
+            'PEER_ADDRESS': f'{ip}:{PEER_PORT}',
+            'SEED_HOSTS': ','.join(
+                f'{c}:{OPERATOR_PORT}' for c in self.control
+            ),
+            'SECRET': SECRET,
+            'LOG_JSON': 'true',
+            'STOP_GRACE_MS': f'{self.grace_s}s',
+        }
+        if ip in self.control:
+            common |= {
+                'ROLES': 'control',
+                'NAME': ip,
+                'OPERATOR_ADDRESS': f'{ip}:{OPERATOR_PORT}',
+                'DATA_FOLDER': os.path.join(self.folder, ip),
+                'BOOTSTRAP': 'true',
+            }
+        else:
+            number = self.nodes.index(ip)
+            common |= {
+                'ROLES': 'node',
+                'NAME': f'n{number}',
+                'CALLER_ADDRESS': f'{ip}:{CALLER_PORT}',
+                'ANNOUNCE_ADDRESS': f'{ip}:{ANNOUNCE_PORT}',
+                'READINESS_ADDRESS': f'{ip}:{READY_PORT}',
+                'BACKEND_ADDRESS': f'{ip}:{BACKEND_PORT}',
+                'BACKEND_SERVICE': SERVICES[number],
+            }
+        return [f'DAMASKLANDING_{k}={v}' for k, v in common.items()]
+
+    def call(self, ip, port, method, path, body=None, headers=()):
+        """Return status, headers and body; status 0 without an answer."""
+        connection = http.client.HTTPConnection(ip, port, timeout=5)
+        try:
+            data = json.dumps(body).encode() if body is not None else None
+            connection.request(method, path, data, dict(headers))
+            answer = connection.getresponse()
+            return answer.status, dict(answer.headers), answer.read()
+        except (OSError, http.client.HTTPException):
+            return 0, {}, b''
+        finally:
+            connection.close()
+
+    def request(self, number, path, key=KEY, request_id='9c41', method='GET'):
+        headers = {
+            'Host': 'h.example',
+            'Damasklanding-Attempt-Id': request_id,
+            'Damasklanding-Deadline-Ms': '2000',
+        }
+        if key:
+            headers['Authorization'] = f'Token {key}'
+        ip = self.nodes[number]
+        return self.call(ip, CALLER_PORT, method, path, headers=headers)
+
+    def operator(self, method, path, body=None, number=0):
+        ip = self.control[number]
+        return self.call(ip, OPERATOR_PORT, method, path, body)
+
+    def ready(self, number):
+        return self.call(self.nodes[number], READY_PORT, 'GET', '/readyz')[0]
+
+    def announce(self, number, state='ready'):
+        self.sequence += 1
+        ip = self.nodes[number]
+        body = {
+            'address': f'{ip}:{BACKEND_PORT}',
+            'born': 1_000,
+            'info': {'service': SERVICES[number], 'maxConcurrency': 50},
+            'status': {
+                'state': state,
+                'sequence': self.sequence,
+                'warmupLeft': '0ms',
+            },
+        }
+        instance = self.backends[number].instance
+        path = f'/instances/{instance}'
+        return self.call(ip, ANNOUNCE_PORT, 'PUT', path, body)[0]
+
+    def logs(self):
+        text = b''
+        for name in os.listdir(self.folder):
+            if name.endswith('.log'):
+                with open(os.path.join(self.folder, name), 'rb') as file:
+                    text += file.read()
+        return text
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+        for process in self.processes.values():
+            process.wait()
+        for backend in self.backends:
+            backend.stop()
+
+
+def eventually(condition, timeout_s=20):
+    end_s = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < end_s, 'it did not come to pass in time'
+        gevent.sleep(0.05)
+
+
+def has_listener(ip, port):
+    with socket.socket() as sock:
+        return sock.connect_ex((ip, port)) == 0
+
+
+@contextmanager
+def platform_fleet(folder):
+    """Run a fleet with its first configuration in force."""
+    fleet = PlatformFleet(folder)
+    try:
+        fleet.start()
+        eventually(
+            lambda: fleet.operator('PUT', '/config', document(1, 0))[0] == 200
+        )
+        for number in range(len(fleet.nodes)):
+            eventually(lambda n=number: fleet.announce(n) == 200)
+        eventually(lambda: fleet.ready(0) == fleet.ready(1) == 200)
+        eventually(
+            lambda: all(
+                fleet.request(n, path)[0] == 200
+                for n in (0, 1)
+                for path in ('/desk/1', '/once/1')
+            )
+        )
+        yield fleet
+    finally:
+        fleet.stop()
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,103 @@
+import signal
+import time
+
+from gevent import monkey
+
+# The stand-in backend servers run beside the callers in this process.
+monkey.patch_all()
+
+from platform_fleet import KEY  # noqa: E402
+from platform_fleet import document  # noqa: E402
+from platform_fleet import eventually  # noqa: E402
+from platform_fleet import platform_fleet  # noqa: E402
+from platform_fleet import rule  # noqa: E402
+import pytest  # noqa: E402
+
+
+@pytest.fixture(scope='module')
+def fleet(tmp_path_factory):
+    with platform_fleet(tmp_path_factory.mktemp('fleet')) as made:
+        yield made
+
+
+def test_request_reaches_the_backend_server_as_it_should(fleet):
+    backend = fleet.backends[1]
+    backend.requests.clear()
+    status, headers, body = fleet.request(0, '/once/2?a=b', request_id='77')
+    assert (status, body) == (200, b'whole')
+    assert headers['damasklanding-server-signature'] == 's.1'
+    (head,) = backend.requests
+    assert head['line'] == 'GET /once/2?a=b HTTP/1.1'
+    assert head['host'] == 'h.example'
+    assert head['damasklanding-attempt-id'] == '77'
+    assert head['damasklanding-tenant'] == 'lender'
+    assert head['damasklanding-caller-service'] == 'desk'
+    assert head['damasklanding-expected-instance'] == 'i-1'
+    assert 0 < int(head['damasklanding-deadline-ms']) <= 2_000
+    assert KEY not in str(head)
+
+
+def test_keys_and_routes_decide_who_is_served(fleet):
+    assert fleet.request(0, '/desk/1', key='wrong')[0] == 401
+    assert fleet.request(0, '/desk/1', key='')[0] == 401
+    assert fleet.request(0, '/inner/1', key='')[0] == 200
+    assert fleet.request(0, '/nowhere/1')[0] == 404
+
+
+def test_operator_reads_what_was_put_and_races_have_one_winner(fleet):
+    first = document(5, 1, [rule('r-9', '/new/', 'desk')])
+    assert fleet.operator('PUT', '/config', first)[0] == 200
+    assert fleet.operator('PUT', '/config', first, number=1)[0] == 200
+    assert fleet.operator('PUT', '/config', document(6, 1), 2)[0] == 412
+    invalid = document(7, 5, [rule('r-8', '/bad/', 'no-such')])
+    assert fleet.operator('PUT', '/config', invalid)[0] == 400
+    for number in range(3):
+        status, _, body = fleet.operator('GET', '/config', number=number)
+        assert status == 200
+        assert b'"version": "00000005"' in body
+        assert b'/new/' in body
+    eventually(lambda: fleet.request(0, '/new/1')[0] == 200, 2)
+
+
+def test_evacuated_data_centre_gets_nothing_until_it_returns(fleet):
+    assert fleet.operator('POST', '/evacuation/kushiro')[0] == 200
+    eventually(lambda: fleet.request(0, '/desk/1')[0] == 503, 5)
+    assert fleet.operator('DELETE', '/evacuation/kushiro')[0] == 200
+    fleet.announce(0)
+    eventually(lambda: fleet.request(0, '/desk/1')[0] == 200, 5)
+
+
+def test_draining_backend_server_gets_nothing_from_its_answer_on(fleet):
+    assert fleet.announce(0, 'draining') == 200
+    fleet.backends[0].requests.clear()
+    status, headers, _ = fleet.request(1, '/desk/1')
+    assert status == 503
+    assert not fleet.backends[0].requests
+    assert float(headers.get('retry-after', '0.1')) > 0
+    assert fleet.announce(0) == 200
+    eventually(lambda: fleet.request(1, '/desk/1')[0] == 200, 5)
+
+
+def test_changed_settings_end_no_process(fleet):
+    for process in fleet.processes.values():
+        process.send_signal(signal.SIGHUP)
+    assert fleet.request(0, '/desk/1')[0] == 200
+    assert all(p.poll() is None for p in fleet.processes.values())
+
+
+def test_planned_stop_cuts_nothing_and_no_key_is_logged(fleet):
+    ip = fleet.nodes[1]
+    for control in fleet.control[:2]:
+        # Without a quorum a node can neither hand over nor sign off.
+        fleet.processes[control].send_signal(signal.SIGSTOP)
+    started_s = time.monotonic()
+    fleet.processes[ip].send_signal(signal.SIGTERM)
+    eventually(lambda: fleet.ready(1) != 200, 2)
+    status, _, body = fleet.request(1, '/desk/1')
+    assert (status, body) == (200, b'whole')
+    assert fleet.processes[ip].wait(10) == 0
+    assert time.monotonic() - started_s < fleet.grace_s + 2
+    logs = fleet.logs()
+    assert KEY.encode() not in logs
+    assert b'"request_id":"9c41"' in logs
+    assert b'key-refused' in logs
