Let the tests of the whole path leave other modules unpatched

Patching the standard library for one test module changed sockets and writes under others: test_adminclient and test_lines failed in the whole run. The stand-ins' client brings gevent sockets of its own; both pass again.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -11,12 +11,12 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
 
 import gevent
+from gevent import socket as gsocket
 from gevent.server import StreamServer
 
 SECRET = 'a-secret-of-the-tests'
@@ -194,8 +194,10 @@
 
     def call(self, ip, port, method, path, body=None, headers=()):
         """Return status, headers and body; status 0 without an answer."""
-        connection = http.client.HTTPConnection(ip, port, timeout=5)
+        connection = http.client.HTTPConnection(ip, port)
         try:
+            # The stand-in backend servers run beside in this process.
+            connection.sock = gsocket.create_connection((ip, port), 5)
             data = json.dumps(body).encode() if body is not None else None
             connection.request(method, path, data, dict(headers))
             answer = connection.getresponse()
@@ -265,11 +267,6 @@
         gevent.sleep(0.05)
 
 
-def has_listener(ip, port):
-    with socket.socket() as sock:
-        return sock.connect_ex((ip, port)) == 0
-
-
 @contextmanager
 def platform_fleet(folder):
     """Run a fleet with its first configuration in force."""
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,17 +1,12 @@
 import signal
 import time
 
-from gevent import monkey
-
-# The stand-in backend servers run beside the callers in this process.
-monkey.patch_all()
-
-from platform_fleet import KEY  # noqa: E402
-from platform_fleet import document  # noqa: E402
-from platform_fleet import eventually  # noqa: E402
-from platform_fleet import platform_fleet  # noqa: E402
-from platform_fleet import rule  # noqa: E402
-import pytest  # noqa: E402
+from platform_fleet import KEY
+from platform_fleet import document
+from platform_fleet import eventually
+from platform_fleet import platform_fleet
+from platform_fleet import rule
+import pytest
 
 
 @pytest.fixture(scope='module')
