Look at each candidate once when choosing a backend server

Cause: choosing read the clock and looked up each candidate's report up to five times; 46 clock readings a call in a profile of a node (33,000 for 720 requests and 480 served calls).

Change: one pass makes the usable candidates with peer and report; the choice works on them.

--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -122,11 +122,8 @@
         :raises Unavailable: there is none.
         :raises Overloaded: all shed calls of this importance.
         """
-        usable = [
-            backend
-            for backend in candidates
-            if backend.name not in excluded and self._takes_work(backend)
-        ]
+        now_ms = self._now_ms()
+        usable = self._usable(candidates, excluded, now_ms)
         if not usable:
             raise Unavailable(
                 'no backend server of the service takes work',
@@ -134,14 +131,29 @@
             )
         if len(usable) == 1:
             self._check_shed(usable, work)
-            return usable[0]
-        healthy = self._healthy(usable)
-        for tier in self._tiers(healthy):
-            best = self._best(tier)
-            if best is not None and self._has_room(best.name):
-                return best
+            return usable[0].backend
+        healthy = _healthy(usable, now_ms)
+        for tier in self._tiers(healthy, now_ms):
+            best = self._best(tier, now_ms)
+            if best is not None and self._has_room(best):
+                return best.backend
         self._check_shed(healthy, work)
-        return self._best(healthy)
+        return self._best(healthy, now_ms).backend
+
+    def _usable(self, candidates, excluded, now_ms):
+        usable = []
+        peers = self._peers
+        for backend in candidates:
+            name = backend.name
+            if name in excluded or backend.state != 'in' or backend.held_out:
+                continue
+            peer = peers.get(name) or self._peer(name)
+            report = peer.report
+            if now_ms - peer.reported_ms > REPORT_FRESH_MS:
+                report = _UNKNOWN
+            if not report.draining:
+                usable.append(_Candidate(backend, peer, report))
+        return usable
 
     def started(self, name):
         """Count a call that was sent to a node."""
@@ -194,87 +206,40 @@
         # One more failure after the pause ejects it again.
         peer.points = EJECT_POINTS - 1
 
-    def _report(self, name):
-        peer = self._peer(name)
-        if self._now_ms() - peer.reported_ms > REPORT_FRESH_MS:
-            return _UNKNOWN
-        return peer.report
-
-    def _takes_work(self, backend):
-        if backend.state != 'in' or backend.held_out:
-            return False
-        return not self._report(backend.name).draining
-
-    def _healthy(self, usable):
-        """Leave out ejected ones, but never more than a share of all."""
-        now_ms = self._now_ms()
-        healthy = [
-            backend
-            for backend in usable
-            if now_ms >= self._peer(backend.name).ejected_until_ms
-        ]
-        ejected = len(usable) - len(healthy)
-        if not healthy or ejected > MOST_EJECTED_SHARE * len(usable):
-            return usable
-        return healthy
-
-    def _tiers(self, backends):
-        own = [b for b in backends if b.name == self._own_name]
-        if own and not self._is_slow(own[0], backends):
-            yield own
-        yield [b for b in backends if b.data_centre == self._own_data_centre]
-        yield backends
-
-    def _is_slow(self, own, backends):
-        own_ms = self._latency_ms(own.name)
-        others = [
-            self._latency_ms(b.name) for b in backends if b.name != own.name
-        ]
-        known = [latency_ms for latency_ms in others if latency_ms]
-        return bool(known) and own_ms > SLOW_RATIO * min(known)
-
-    def _best(self, backends):
-        if not backends:
+    def _tiers(self, candidates, now_ms):
+        own_name = self._own_name
+        for own in candidates:
+            if own.backend.name == own_name:
+                if not _is_slow(own, candidates, now_ms):
+                    yield [own]
+                break
+        data_centre = self._own_data_centre
+        yield [c for c in candidates if c.backend.data_centre == data_centre]
+        yield candidates
+
+    def _best(self, candidates, now_ms):
+        if not candidates:
             return None
-        if len(backends) > 1 and self._random.random() < EXPLORE_SHARE:
-            return self._random.choice(backends)
-        if len(backends) > CHOICES:
-            backends = self._random.sample(backends, CHOICES)
-        return min(backends, key=self._expected_ms)
-
-    def _load(self, name):
-        """Return the calls that are there now, as far as known."""
-        peer = self._peer(name)
-        report = self._report(name)
-        return max(
-            report.running + report.queued + peer.sent_since, peer.outstanding
-        )
-
-    def _latency_ms(self, name):
-        """Return the time of a call seen from here; old samples fade."""
-        peer = self._peer(name)
-        age_ms = self._now_ms() - peer.sampled_ms
-        return peer.latency_ms * exp(-age_ms / LATENCY_FADE_MS)
-
-    def _expected_ms(self, backend):
-        report = self._report(backend.name)
-        time_ms = self._latency_ms(backend.name) or report.service_time_ms
-        limit = max(1, report.limit)
-        queue_share = (self._load(backend.name) + 1) / limit
-        return (time_ms + 1.0) * (0.5 + queue_share)
-
-    def _has_room(self, name):
-        report = self._report(name)
+        if len(candidates) == 1:
+            return candidates[0]
+        if self._random.random() < EXPLORE_SHARE:
+            return self._random.choice(candidates)
+        if len(candidates) > CHOICES:
+            candidates = self._random.sample(candidates, CHOICES)
+        return min(candidates, key=lambda c: _expected_ms(c, now_ms))
+
+    def _has_room(self, candidate):
+        report = candidate.report
         if not report.limit:
             return True
-        if report.cold and name != self._own_name:
+        if report.cold and candidate.backend.name != self._own_name:
             share = max(1, int(COLD_SHARE * report.limit))
-            if self._peer(name).outstanding >= share:
+            if candidate.peer.outstanding >= share:
                 return False
-        return self._load(name) < report.limit
+        return _load(candidate) < report.limit
 
-    def _check_shed(self, backends, work):
-        reports = [self._report(backend.name) for backend in backends]
+    def _check_shed(self, candidates, work):
+        reports = [candidate.report for candidate in candidates]
         if any(work.importance >= report.shed_below for report in reports):
             return
         if self._random.random() < PROBE_SHARE:
@@ -286,3 +251,55 @@
                 MIN_RETRY_AFTER_MS, min(MAX_RETRY_AFTER_MS, wait_ms)
             ),
         )
+
+
+class _Candidate:
+    """A backend server with what is known of it at one moment."""
+
+    __slots__ = ('backend', 'peer', 'report')
+
+    def __init__(self, backend, peer, report):
+        self.backend = backend
+        self.peer = peer
+        self.report = report
+
+
+def _healthy(usable, now_ms):
+    """Leave out ejected ones, but never more than a share of all."""
+    healthy = [c for c in usable if now_ms >= c.peer.ejected_until_ms]
+    ejected = len(usable) - len(healthy)
+    if not healthy or ejected > MOST_EJECTED_SHARE * len(usable):
+        return usable
+    return healthy
+
+
+def _is_slow(own, candidates, now_ms):
+    times_ms = [_latency_ms(c, now_ms) for c in candidates if c is not own]
+    known = [time_ms for time_ms in times_ms if time_ms]
+    return bool(known) and _latency_ms(own, now_ms) > SLOW_RATIO * min(known)
+
+
+def _load(candidate):
+    """Return the calls that are there now, as far as known."""
+    peer = candidate.peer
+    report = candidate.report
+    return max(
+        report.running + report.queued + peer.sent_since, peer.outstanding
+    )
+
+
+def _latency_ms(candidate, now_ms):
+    """Return the time of a call seen from here; old samples fade."""
+    peer = candidate.peer
+    if not peer.latency_ms:
+        return 0.0
+    age_ms = now_ms - peer.sampled_ms
+    return peer.latency_ms * exp(-age_ms / LATENCY_FADE_MS)
+
+
+def _expected_ms(candidate, now_ms):
+    report = candidate.report
+    time_ms = _latency_ms(candidate, now_ms) or report.service_time_ms
+    limit = max(1, report.limit)
+    queue_share = (_load(candidate) + 1) / limit
+    return (time_ms + 1.0) * (0.5 + queue_share)
