--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,6 +6,7 @@
 from damasklanding.settings import OPTIONS
 from damasklanding.settings import daemon_command
 from damasklanding.settings import load_settings
+from damasklanding.settings import read_settings_file
 
 
 @pytest.fixture()
@@ -138,3 +139,43 @@
         assert option.flag in output
     assert 'DAMASKLANDING_PEER_ADDRESS' in output
     assert 'SIGTERM' in output
+
+
+def test_platform_interface_names_what_it_needs():
+    with pytest.raises(BadSetting, match='--seed-hosts'):
+        load_settings(
+            {
+                'interface': 'platform',
+                'name': 'n1',
+                'data_centre': 'kushiro',
+                'peer_address': '10.1.0.1:7000',
+                'secret': '0123456789abcdef',
+            }
+        )
+
+
+@pytest.mark.parametrize(
+    ('field', 'text', 'words'),
+    [
+        ('stop_grace_ms', '6', 'not a number with the unit'),
+        ('stop_grace_ms', '20m', 'not a number with the unit'),
+        ('stop_grace_ms', '100ms', 'not within 500 ms'),
+        ('retry_ratio', '1.5', 'not within 0 to 1'),
+        ('interface', 'other', 'none of own, platform'),
+        ('seed_hosts', '10.1.0.1', 'without a port'),
+    ],
+)
+def test_wrong_platform_settings_are_named(texts, field, text, words):
+    with pytest.raises(BadSetting, match=words):
+        load_settings({**texts, field: text})
+
+
+def test_settings_file_goes_below_flags(tmp_path):
+    path = tmp_path / 'node.env'
+    path.write_text('# a comment\n\nDAMASKLANDING_NAME=n7\n')
+    assert read_settings_file(str(path)) == {'name': 'n7'}
+    path.write_text('DAMASKLANDING_NAMES=n7\n')
+    with pytest.raises(BadSetting, match='line 1'):
+        read_settings_file(str(path))
+    with pytest.raises(BadSetting, match='can not be read'):
+        read_settings_file(str(tmp_path / 'none'))
