Use one parser for bounded settings and read a caller's head once

Found in reading the change once more: three parsers with the same bounds check in options.py, a second always-true function and a context manager that only wrapped another in ingress.py, and a head that was read again for each line about a failed request. `_within`, `hangup.always` and the head that was read first serve instead.

--- a/damasklanding/node/egress.py
+++ b/damasklanding/node/egress.py
@@ -29,6 +29,7 @@
 from damasklanding.node.answers import streamed
 from damasklanding.node.bodies import body_from_request
 from damasklanding.node.calls import Call
+from damasklanding.node.hangup import always
 from damasklanding.node.http import status_line
 
 __all__ = ['Egress']
@@ -174,17 +175,13 @@
     return hashlib.sha256(text + (call.body.data or b'')).digest()
 
 
-def _always():
-    return True
-
-
 @contextmanager
 def _child(running, call, request):
     """End this greenlet's call when its parent or its caller ends."""
     greenlet = gevent.getcurrent()
     running.children.add(greenlet)
     try:
-        with request.hangup.watching(call.body, _always):
+        with request.hangup.watching(call.body, always):
             yield
     finally:
         running.children.discard(greenlet)
--- a/damasklanding/node/hangup.py
+++ b/damasklanding/node/hangup.py
@@ -11,7 +11,7 @@
 
 import gevent
 
-__all__ = ['CallerGone', 'Hangup']
+__all__ = ['CallerGone', 'Hangup', 'always']
 
 READ = 1
 
@@ -20,6 +20,11 @@
     """Raised in a request whose caller has closed its connection."""
 
 
+def always():
+    """Cancel whatever has become of the request by then."""
+    return True
+
+
 class Hangup:
     """
     Watches one caller connection while its requests run.
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -6,8 +6,6 @@
 host name and path: key, rate, route, and the answer.
 """
 
-from contextlib import contextmanager
-
 from damasklanding.decisions import Decision
 from damasklanding.errors import BadInput
 from damasklanding.errors import DamasklandingError
@@ -22,6 +20,7 @@
 from damasklanding.node.calls import Allowance
 from damasklanding.node.calls import Call
 from damasklanding.node.entry import OVERLOAD_CODES
+from damasklanding.node.hangup import always
 from damasklanding.node.http import status_line
 from damasklanding.node.view import key_digest
 from damasklanding.policy.split import choose_part
@@ -101,20 +100,21 @@
             reason,
         )
         if reason != OK and self._decisions is not None:
-            self._log(request, passage, answer, reason, detail)
+            self._log(passage, answer, reason, detail)
         start_response(status_line(answer.status), self._dialect.pairs(answer))
         if answer.parts is None:
             return (answer.body,)
         return streamed(answer)
 
     def _answer(self, request, passage):
+        head = self._dialect.read(request)
+        passage.request_id = head.request_id
         configuration = self._view.configuration()
         if configuration is None:
             raise Unavailable(
                 'this node has no configuration yet',
                 retry_after_ms=NO_CONFIGURATION_RETRY_MS,
             )
-        head = self._dialect.read(request)
         route = self._view.host_route(head.host, request.path)
         self._view.require_fresh(self._settings.fresh_limit_ms)
         profile = self._view.state.get('profile', route.profile)
@@ -128,7 +128,7 @@
         call = self._call(request, head, passage, profile, organisation)
         call.body = body_from_request(request, self._settings.max_body_bytes)
         passage.call = call
-        with self._followed(call, request):
+        with request.hangup.watching(call.body, always):
             self._take(call, organisation, profile)
             if organisation is not None:
                 self._pressure.check(
@@ -190,7 +190,7 @@
             wait_ms = min(profile.longest_wait_ms, int(left_ms))
             self._holdings.take(organisation, wait_ms)
 
-    def _log(self, request, passage, answer, reason, detail):
+    def _log(self, passage, answer, reason, detail):
         call = passage.call
         now_ms = self._now_ms()
         age_ms = self._view.age_ms()
@@ -198,7 +198,7 @@
         self._decisions.note(
             Decision(
                 event='answered',
-                request_id=self._dialect.read(request).request_id,
+                request_id=passage.request_id,
                 reason=reason,
                 outcome=answer.outcome,
                 service=passage.service,
@@ -227,12 +227,6 @@
             self._want(service)
             self._wanted.add(service)
 
-    @contextmanager
-    def _followed(self, call, request):
-        """Cancel a call when its caller hangs up."""
-        with request.hangup.watching(call.body, _always):
-            yield
-
 
 class _Passage:
     """
@@ -248,6 +242,7 @@
         'checked',
         'organisation',
         'profile',
+        'request_id',
         'service',
     )
 
@@ -257,13 +252,10 @@
         self.checked = False
         self.organisation = ''
         self.profile = ''
+        self.request_id = ''
         self.service = ''
 
 
-def _always():
-    return True
-
-
 def _trusted(answer):
     """
     Return an answer of a backend server that may go back as it is.
--- a/damasklanding/options.py
+++ b/damasklanding/options.py
@@ -129,24 +129,30 @@
     return float(found[1]) * _UNITS_MS[found[2]]
 
 
-def _duration_ms(low, high):
+def _within(convert, low, high, unit=''):
+    """Return a parser of a value between two bounds."""
+
     def parse(text):
-        value = round(parse_duration_ms(text))
+        value = convert(text)
         if not low <= value <= high:
-            raise ValueError(f'not within {low} ms to {high} ms')
+            raise ValueError(f'not within {low}{unit} to {high}{unit}')
         return value
 
     return parse
 
 
+def _whole(low, high):
+    return _within(int, low, high)
+
+
 def _fraction(low, high):
-    def parse(text):
-        value = float(text)
-        if not low <= value <= high:
-            raise ValueError(f'not within {low} to {high}')
-        return value
+    return _within(float, low, high)
 
-    return parse
+
+def _duration_ms(low, high):
+    return _within(
+        lambda text: round(parse_duration_ms(text)), low, high, ' ms'
+    )
 
 
 def _interface(text):
@@ -155,16 +161,6 @@
     return text
 
 
-def _whole(low, high):
-    def parse(text):
-        value = int(text)
-        if not low <= value <= high:
-            raise ValueError(f'not within {low} to {high}')
-        return value
-
-    return parse
-
-
 def _level(text):
     if text not in ('debug', 'info', 'warning', 'error'):
         raise ValueError('not a level')
@@ -387,8 +383,8 @@
     ),
     Option(
         'operator_address',
-        'Listener for whole configurations and evacuations (platform '
-        'interface, control).',
+        'Listener for whole configurations, and for data centres to take '
+        'out (platform interface, control).',
         _address,
         _ADDRESS_REMEDY,
         'IP:PORT',
