Refuse what the rate allows too late, and prove a read when it is asked

Now: a request waits for the rate a quarter of the time within which its answer is worth most; the refusal's Retry-After covers those refused before it. A read without a fresh proof asks for one. Both tests fail before.

--- a/damasklanding/budget/holding.py
+++ b/damasklanding/budget/holding.py
@@ -20,6 +20,7 @@
 SCARCE_HORIZON = 0.5  # the same while the owner is short of tokens
 SURPLUS_AGE = 0.6  # part of a grant's life after which surplus goes back
 DEMAND_WINDOW_MS = 100
+REFUSED_MEMORY_MS = 1_000.0  # time constant; a second is a client's pause
 MIN_DEMAND = 0.5  # requests in a grant's life that count as demand
 
 
@@ -42,15 +43,25 @@
 
 class Waiter:
     """
-    A request that waits for a token until a deadline.
+    A request that waits for a token.
 
+    :ivar deadline_ms: until when the owner may answer.
+    :ivar due_by_ms: until when, by the owner's answer, its token is to come.
     :ivar organisation: whose budget it needs.
     """
 
-    __slots__ = ('admitted', 'deadline_ms', 'error', 'event', 'organisation')
+    __slots__ = (
+        'admitted',
+        'deadline_ms',
+        'due_by_ms',
+        'error',
+        'event',
+        'organisation',
+    )
 
-    def __init__(self, deadline_ms, organisation=None):
+    def __init__(self, deadline_ms, organisation, due_by_ms):
         self.deadline_ms = deadline_ms
+        self.due_by_ms = due_by_ms
         self.organisation = organisation
         self.error = None
         self.admitted = False
@@ -97,6 +108,8 @@
         'ttl_ms',
         '_counted_ms',
         '_demand_per_ms',
+        '_refused',
+        '_refused_at_ms',
     )
 
     def __init__(self, name, now_ms):
@@ -115,6 +128,8 @@
         self.ttl_ms = 0
         self._counted_ms = now_ms
         self._demand_per_ms = 0.0
+        self._refused = 0.0
+        self._refused_at_ms = now_ms
 
     def idle(self):
         """Return whether there is nothing left to remember."""
@@ -166,13 +181,30 @@
         """Return the waiting requests that no promised token will serve."""
         return list(self.waiters)[self.promised :]
 
-    def take_out_late(self, again_ms):
-        """Take out uncovered requests whose deadline comes before a time."""
+    def take_out_late(self, is_late):
+        """Take out uncovered requests for which a function says so."""
         covered = list(self.waiters)[: self.promised]
-        uncovered = self.uncovered()
-        stay = [w for w in uncovered if w.deadline_ms > again_ms]
+        late = []
+        stay = []
+        for waiter in self.uncovered():
+            (late if is_late(waiter) else stay).append(waiter)
         self.waiters = deque(covered + stay)
-        return [w for w in uncovered if w.deadline_ms <= again_ms]
+        return late
+
+    def note_refused(self, now_ms):
+        """Count a request that was refused for the rate."""
+        self._fade_refused(now_ms)
+        self._refused += 1.0
+
+    def refused_lately(self, now_ms):
+        """Return the requests refused in about the last second."""
+        self._fade_refused(now_ms)
+        return self._refused
+
+    def _fade_refused(self, now_ms):
+        passed_ms = now_ms - self._refused_at_ms
+        self._refused *= math.exp(-passed_ms / REFUSED_MEMORY_MS)
+        self._refused_at_ms = now_ms
 
     def measure(self, now_ms):
         """Update the demand once a window has passed."""
--- a/damasklanding/budget/holdings.py
+++ b/damasklanding/budget/holdings.py
@@ -27,10 +27,12 @@
 __all__ = ['Holdings', 'Received']
 
 ASK_TIMEOUT_MS = 250
-MIN_WAIT_MS = 300  # one time to live of tokens and some round trips
+MIN_WAIT_MS = 300  # for an owner: a life of tokens and some round trips
 RETRY_MS = 50  # between attempts to reach the owner
 DRY_PAUSE_MS = 20  # between requests that brought too little
 SWEEP_MS = 40
+MIN_RETRY_AFTER_MS = 50  # a round trip of a caller, many times over
+MAX_RETRY_AFTER_MS = 2_000  # later, most callers no longer wait
 ALONE_MS = 200  # before an owner that did not issue is asked again
 #: Of a node's even part, where the owner says that it does not issue: all
 #: parts together are the whole budget.
@@ -61,6 +63,9 @@
     :param sleep: pauses for a number of seconds.
     :param shares: :class:`~damasklanding.budget.shares.LocalShares` to admit
         from while no owner issues; None to refuse then.
+    :param node_count: function that returns how many nodes share a rate.
+    :param least_wait_ms: for the rate, however little a request would wait;
+        the last part of a burst is issued only within the life of tokens.
     """
 
     def __init__(
@@ -74,6 +79,8 @@
         spawn=gevent.spawn,
         sleep=gevent.sleep,
         shares=None,
+        node_count=lambda: 1,
+        least_wait_ms=MIN_WAIT_MS,
     ):
         self._view = view
         self._pool = pool
@@ -84,6 +91,8 @@
         self._spawn = spawn
         self._sleep = sleep
         self._shares = shares
+        self._node_count = node_count
+        self._least_wait_ms = least_wait_ms
         self._holdings = {}
         self._in_use = Event()
         self._sweeper = None
@@ -152,11 +161,12 @@
             self._ask(holding)
 
     def _wait(self, holding, organisation, wait_ms, now_ms):
-        limit_ms = max(wait_ms, MIN_WAIT_MS)
+        wait_ms = max(wait_ms, self._least_wait_ms)
         due_ms = holding.horizon_ms - now_ms
-        if due_ms > limit_ms:
-            raise _over_rate(holding.name, due_ms - wait_ms)
-        waiter = Waiter(now_ms + limit_ms, organisation)
+        if due_ms > wait_ms:
+            raise self._over_rate(holding, organisation)
+        limit_ms = max(wait_ms, MIN_WAIT_MS)
+        waiter = Waiter(now_ms + limit_ms, organisation, now_ms + wait_ms)
         holding.waiters.append(waiter)
         self._ask(holding)
         try:
@@ -167,7 +177,7 @@
                 holding.waiters.remove(waiter)
         if waiter.admitted:
             return
-        raise waiter.error or _late(holding, self._now_ms())
+        raise waiter.error or self._late(holding, organisation)
 
     def _ask(self, holding):
         if not holding.asking:
@@ -195,7 +205,11 @@
         except DamasklandingError as error:
             self._metrics.add('grants_total', error.code)
             self._go_alone(holding, error)
-            self._refuse_late(holding, self._now_ms() + RETRY_MS, error)
+            again_ms = self._now_ms() + RETRY_MS
+            for waiter in holding.take_out_late(
+                lambda waiter: waiter.deadline_ms <= again_ms
+            ):
+                waiter.refuse(error)
             return RETRY_MS
         self._receive(holding, grant, sent_ms)
         if grant.tokens + grant.later >= len(waiting):
@@ -203,7 +217,10 @@
             return 0
         now_ms = self._now_ms()
         holding.horizon_ms = now_ms + grant.next_ms + DRY_PAUSE_MS
-        self._refuse_late(holding, holding.horizon_ms, None)
+        for waiter in holding.take_out_late(
+            lambda waiter: waiter.due_by_ms <= holding.horizon_ms
+        ):
+            waiter.refuse(self._over_rate(holding, waiter.organisation))
         return DRY_PAUSE_MS
 
     def _go_alone(self, holding, error):
@@ -230,13 +247,13 @@
                 f'the budget of {holding.name} has no owner',
                 retry_after_ms=RETRY_MS,
             )
-        deadline_ms = max((w.deadline_ms for w in waiting), default=now_ms)
+        due_by_ms = max((w.due_by_ms for w in waiting), default=now_ms)
         message = GrantRequest(
             organisation=holding.name,
             epoch=shard.revision,
             wanted=wanted,
             waiting=len(waiting),
-            wait_ms=max(0, math.floor(deadline_ms - now_ms)),
+            wait_ms=max(0, math.floor(due_by_ms - now_ms)),
             node=self._name,
         )
         if self._owner.owns(shard):
@@ -273,11 +290,6 @@
             holding.admit_waiters(self._now_ms())
             delay_ms += grant.spacing_ms
 
-    def _refuse_late(self, holding, again_ms, error):
-        retry_ms = again_ms - self._now_ms()
-        for waiter in holding.take_out_late(again_ms):
-            waiter.refuse(error or _over_rate(holding.name, retry_ms))
-
     def _give_back(self, holding, grant):
         shard = self._view.state.get('budget_shard', holding.shard_name)
         if shard is None or shard.revision != grant.epoch:
@@ -293,19 +305,29 @@
         except DamasklandingError as error:
             self._metrics.add('grants_total', error.code)
 
+    def _late(self, holding, organisation):
+        due_ms = holding.horizon_ms - self._now_ms()
+        if due_ms > 0 or holding.promised:
+            return self._over_rate(holding, organisation)
+        return Unavailable(
+            f'the budget of {holding.name} was not reached in time',
+            retry_after_ms=RETRY_MS,
+        )
 
-def _over_rate(name, retry_after_ms):
-    return OverRate(
-        f'{name} is above its rate',
-        retry_after_ms=max(1, int(retry_after_ms)),
-    )
-
+    def _over_rate(self, holding, organisation):
+        """
+        Return the refusal of one request.
 
-def _late(holding, now_ms):
-    due_ms = holding.horizon_ms - now_ms
-    if due_ms > 0 or holding.promised:
-        return _over_rate(holding.name, due_ms)
-    return Unavailable(
-        f'the budget of {holding.name} was not reached in time',
-        retry_after_ms=RETRY_MS,
-    )
+        The time after which to come again lets the rate first admit those
+        that this node has refused before it.
+        """
+        now_ms = self._now_ms()
+        holding.note_refused(now_ms)
+        due_ms = max(0.0, holding.horizon_ms - now_ms)
+        spacing_ms = 1000.0 * self._node_count() / organisation.rate_per_s
+        backlog_ms = holding.refused_lately(now_ms) * spacing_ms
+        retry_ms = max(MIN_RETRY_AFTER_MS, due_ms + backlog_ms)
+        return OverRate(
+            f'{holding.name} is above its rate',
+            retry_after_ms=int(min(MAX_RETRY_AFTER_MS, retry_ms)),
+        )
--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -302,6 +302,8 @@
             daemon.metrics,
             identity.name,
             shares=self._shares(settings),
+            node_count=lambda: max(1, self._owner_count()),
+            **self._rate_waits(settings),
         )
         self.router = Router(
             identity.name,
@@ -405,6 +407,11 @@
 
         return LocalShares(self._owner_count)
 
+    def _rate_waits(self, settings):
+        # Routes there say how soon an answer is wanted, so that a wait
+        # beyond a part of that is of no use.
+        return {'least_wait_ms': 0} if settings.serves_platform else {}
+
     def _owner_count(self):
         """Return the number of nodes; each owns some of the shards."""
         position = self.view.state.position()
--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -122,6 +122,7 @@
             pool, _other_seeds(settings), now_ms, self.view
         )
         self._joining = StateLog()
+        self._reading = StateLog()
         self._machine = ConfigurationMachine(self.view, metrics)
         try:
             self.config = self.add_group(CONFIG, self._machine)
@@ -202,6 +203,13 @@
         :raises Unavailable: there is none, or this host can't prove that
             what it has is the latest.
         """
+        if self.view.age_ms() > READ_FRESH_MS:
+            try:
+                self.leases.prove()
+            except DamasklandingError as error:
+                self._reading.note('proof for a read', error.code, str(error))
+            else:
+                self._reading.note('proof for a read', 'given')
         self.view.require_fresh(READ_FRESH_MS)
         return self._machine.applied.current()
 
--- a/damasklanding/control/leases.py
+++ b/damasklanding/control/leases.py
@@ -145,6 +145,16 @@
         """Stop; leases are then kept by the next leader."""
         gevent.killall(self._greenlets)
 
+    def prove(self):
+        """
+        Prove the state current now, not only at the next report.
+
+        Right after an election no host has a proof yet.
+
+        :raises DamasklandingError: the leader gave none.
+        """
+        self._renew()
+
     def _every(self, period_ms, function):
         while True:
             gevent.sleep(period_ms / 1000)
--- a/damasklanding/fleet/derived.py
+++ b/damasklanding/fleet/derived.py
@@ -16,8 +16,8 @@
 
 MAX_IMPORTANCE = 3
 MAX_RETRIES = 3
-#: Of the aim, that a request may wait for a slot: the rest is for its work
-#: and its calls.
+#: Of the aim, or of a shorter timeout, that a request may wait for a slot:
+#: the rest is for its work and its calls.
 WAIT_SHARE = 0.5
 
 
@@ -38,7 +38,9 @@
         request that made it, and all that was done for it, so it waits as
         long as it can.
     """
-    wait_ms = timeout_ms if keyless else WAIT_SHARE * aim_ms
+    wait_ms = timeout_ms
+    if not keyless:
+        wait_ms = WAIT_SHARE * min(aim_ms, timeout_ms)
     profile = Profile(
         name='derived',
         importance=importance,
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -28,6 +28,9 @@
 __all__ = ['Ingress']
 
 NO_CONFIGURATION_RETRY_MS = 200
+#: Of the time within which an answer is worth most, that a request may wait
+#: for its organisation's rate; what waits longer is answered too late.
+RATE_WAIT_SHARE = 0.25
 #: Reasons of answers that came from a backend server.
 OK = 'ok'
 FAILED = 'failed'
@@ -187,7 +190,9 @@
         if left_ms <= 0:
             raise DeadlineExceeded('the request brought no time')
         if organisation is not None:
-            wait_ms = min(profile.longest_wait_ms, int(left_ms))
+            wait_ms = RATE_WAIT_SHARE * min(
+                profile.objective_latency_ms, left_ms
+            )
             self._holdings.take(organisation, wait_ms)
 
     def _log(self, passage, answer, reason, detail):
--- a/damasklanding/wire.py
+++ b/damasklanding/wire.py
@@ -167,9 +167,7 @@
             tag, exchange = _PACKED_HEAD.unpack_from(data)
             decode = _PACKED_DECODERS.get(tag)
             if decode is not None:
-                return exchange, decode(
-                    memoryview(data)[_PACKED_HEAD_BYTES:]
-                )
+                return exchange, decode(memoryview(data)[_PACKED_HEAD_BYTES:])
         with _schema.Frame.from_bytes(data) as frame:
             member = str(frame.which())
             cls = MESSAGES.get(member)
--- a/tests/budget_fleet.py
+++ b/tests/budget_fleet.py
@@ -75,6 +75,7 @@
             self.name,
             self.spawn,
             self.sleep,
+            **self.fleet.waits,
         )
 
     def restart(self):
@@ -119,8 +120,13 @@
     :ivar cut: pairs of addresses that don't reach each other.
     """
 
-    def __init__(self, monkeypatch, count, rate=100.0, burst=100):
+    def __init__(
+        self, monkeypatch, count, rate=100.0, burst=100, least_wait_ms=None
+    ):
         self.time = VirtualTime()
+        self.waits = {}
+        if least_wait_ms is not None:
+            self.waits['least_wait_ms'] = least_wait_ms
         monkeypatch.setattr(holding_module, 'Event', self.time.event)
         self.jobs = []
         self.delays = deque()
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -294,3 +294,25 @@
     assert worst_excess(later, rate, burst) <= 1e-6
     expected = rate * (fleet.time() - since_ms) / 1000
     assert len(later) >= expected * 0.9
+
+
+def test_rate_that_comes_too_late_is_not_waited_for(build):
+    fleet = build(burst=10, least_wait_ms=0)
+    node = fleet.nodes[1]
+    for _ in range(60):
+        fleet.take(node, 500)
+    fleet.time.run_for(10)
+    job = fleet.take(node, 20)
+    fleet.time.run_for(45)
+    assert isinstance(job.value, OverRate)
+
+
+def test_refused_callers_come_back_when_the_rate_has_room(build):
+    fleet = build(rate=100.0, burst=20)
+    node = fleet.nodes[1]
+    jobs = [fleet.take(node) for _ in range(80)]
+    fleet.time.run_for(5)
+    refused = [job.value for job in jobs if isinstance(job.value, OverRate)]
+    assert len(refused) == 40
+    # The last one waits for all before it, 10 ms each.
+    assert max(error.retry_after_ms for error in refused) >= 400
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -9,6 +9,7 @@
 from damasklanding.control.leases import REPORT_MS
 from damasklanding.control.leases import REROUTE_MS
 from damasklanding.control.leases import LeaseTable
+from damasklanding.errors import Unavailable
 from damasklanding.fleet.commands import RegisterBackend
 from damasklanding.fleet.commands import SetDataCentre
 from damasklanding.fleet.resources import Backend
@@ -104,6 +105,19 @@
         beating.kill()
 
 
+def test_read_right_after_an_election_finds_a_proof(tmp_path):
+    with cluster(tmp_path) as fleet:
+        leader = fleet.start_all()
+        for host in fleet.hosts.values():
+            # As if no report had been made since the leader began.
+            host.leases.stop()
+            host.view._confirmed_at_ms = None
+        eventually(lambda: leader.config.confirmed_age_ms() < 1_000)
+        for host in fleet.hosts.values():
+            with pytest.raises(Unavailable, match='no whole configuration'):
+                host.current_document()
+
+
 @pytest.mark.parametrize('cut', ['leader', 'follower'])
 def test_isolated_host_neither_claims_freshness_nor_commits(tmp_path, cut):
     with cluster(tmp_path) as fleet:
