--- a/damasklanding/node/hangup.py
+++ b/damasklanding/node/hangup.py
@@ -49,16 +49,24 @@
             a hang-up shows as a cut body instead.
         :param unwanted: see :meth:`start`.
         """
-        if body.data is None:
-            body.on_end = partial(self.start, unwanted)
-        else:
-            self.start(unwanted)
+        self.watch(body, unwanted)
         try:
             yield
         finally:
             body.on_end = None
             self.stop()
 
+    def watch(self, body, unwanted):
+        """Do the first half of :meth:`watching`; :meth:`stop` ends it."""
+        if body.data is None:
+            body.on_end = partial(self.start, unwanted)
+        else:
+            self.start(unwanted)
+
+    def wait_readable(self):
+        """Wait until the caller has sent something or closed."""
+        gevent.get_hub().wait(self._watcher)
+
     def start(self, unwanted):
         """
         Cancel the current greenlet when the caller hangs up.
--- a/damasklanding/node/http.py
+++ b/damasklanding/node/http.py
@@ -8,6 +8,9 @@
 
 from dataclasses import dataclass
 from http.client import responses
+from io import BufferedReader
+from io import BytesIO
+from io import RawIOBase
 import socket
 import time
 
@@ -33,6 +36,7 @@
 __all__ = ['Limits', 'Listener', 'send_all', 'status_line']
 
 MAX_DISCARD_BYTES = 64 * 1024
+RECEIVE_BYTES = 64 * 1024
 SWEEP_MS = 1_000
 
 _NO_BODY = frozenset((204, 304))
@@ -48,12 +52,50 @@
     idle_timeout_ms: int
 
 
+class _Rest(RawIOBase):
+    """
+    What comes on a connection, behind bytes that were read from it before.
+
+    :param held: the bytes.
+    """
+
+    def __init__(self, sock, held):
+        self._sock = sock
+        self._held = held
+
+    def readable(self):
+        """Return that it can be read from."""
+        return True
+
+    def readinto(self, buffer):
+        """Read some bytes into a buffer; return how many, 0 at the end."""
+        held = self._held
+        if not held:
+            return self._sock.recv_into(buffer)
+        size = min(len(buffer), len(held))
+        buffer[:size] = held[:size]
+        self._held = held[size:]
+        return size
+
+
 class _Handler(WSGIHandler):
-    """One caller connection."""
+    """
+    One caller connection.
+
+    A request that comes in one piece, as nearly all do, is taken from the
+    bytes received; the first one that does not makes a buffered reader.
+    """
 
     busy = False
     idle_since_ms = 0.0
 
+    def __init__(self, sock, address, server):
+        self.socket = sock
+        self.client_address = address
+        self.server = server
+        self.rfile = None
+        self._held = b''
+
     def handle(self):
         """Serve requests until the connection ends."""
         self.hangup = Hangup(self.socket)
@@ -92,10 +134,22 @@
 
     def _read_request(self):
         limits = self.server.limits
-        # The listener's sweep ends idle connections; a timer for each
-        # request would cost more.
-        self.socket.settimeout(None)
         self.idle_since_ms = monotonic_ms()
+        if self.rfile is None:
+            data = self._held
+            if not data:
+                # The listener's sweep ends idle connections; a timer for
+                # each request would cost more.
+                self.hangup.wait_readable()
+                data = self.socket.recv(RECEIVE_BYTES)
+                if not data:
+                    return None
+            request = self._request_from(data, limits)
+            if request is not None:
+                return request
+            self._held = b''
+            self.rfile = BufferedReader(_Rest(self.socket, data))
+        self.socket.settimeout(None)
         head = self.rfile.peek(1)
         if not head:
             return None
@@ -111,6 +165,25 @@
         self._attach_body(request, limits)
         return request
 
+    def _request_from(self, data, limits):
+        """Return the request that bytes begin with, None unless whole."""
+        end = data.find(b'\r\n\r\n')
+        if not 0 < end <= limits.max_header_bytes:
+            return None
+        request = parse_head(data[:end])
+        begin = end + 4
+        if request.length is None or 'expect' in request.named:
+            return None
+        rest = begin + request.length
+        if rest > len(data):
+            return None
+        if request.length:
+            _check_length(request, limits)
+            request.body = BytesIO(data[begin:rest])
+        request.hangup = self.hangup
+        self._held = data[rest:]
+        return request
+
     def _read_head_slowly(self, limits):
         error = HeaderTimeout('the headers did not come in time')
         self.idle_since_ms = float('inf')
@@ -133,10 +206,7 @@
                 lines.append(line)
 
     def _attach_body(self, request, limits):
-        if request.length is not None and (
-            request.length > limits.max_body_bytes
-        ):
-            raise TooLarge(f'a body of {request.length} bytes')
+        _check_length(request, limits)
         expect = request.named.get('expect')
         if expect is not None and expect.lower() != '100-continue':
             raise NotImplementedHere(f'expectation {expect[:20]!r}')
@@ -234,12 +304,16 @@
         return ''.join(lines).encode('latin-1')
 
     def _unread_body(self):
+        if type(self.request.body) is not Input:
+            return False
         length = self.request.length
         if length is None:
             return self.request.body.chunk_length != 0
         return length - self.request.body.position > MAX_DISCARD_BYTES
 
     def _body_consumed(self, request):
+        if type(request.body) is not Input:
+            return True
         try:
             request.body._discard()
         except OSError:
@@ -264,7 +338,6 @@
         self.keep = False
         self.sent_head = False
         self.request = Request('GET', '/', '/', 1, [], {})
-        self.request.body = Input(None, 0)
         answer = answer_from_error(error)
         try:
             self.start_response(status_line(answer.status), answer.pairs())
@@ -273,6 +346,11 @@
             pass
 
 
+def _check_length(request, limits):
+    if request.length is not None and request.length > limits.max_body_bytes:
+        raise TooLarge(f'a body of {request.length} bytes')
+
+
 def send_all(sock, data):
     """Send bytes, with one plain call where they fit at once."""
     sent = sock.send(data)
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -131,7 +131,10 @@
         call = self._call(request, head, passage, profile, organisation)
         call.body = body_from_request(request, self._settings.max_body_bytes)
         passage.call = call
-        with request.hangup.watching(call.body, always):
+        # As the block of Hangup.watching, whose making would cost each call
+        # as much as what it guards.
+        request.hangup.watch(call.body, always)
+        try:
             self._take(call, organisation, profile)
             if organisation is not None:
                 self._pressure.check(
@@ -140,6 +143,9 @@
                 passage.checked = True
             self._make_known(call.service)
             return self._forwarder.forward(call)
+        finally:
+            call.body.on_end = None
+            request.hangup.stop()
 
     def _authenticate(self, head):
         if head.key is None:
