--- a/damasklanding/budget/holding.py
+++ b/damasklanding/budget/holding.py
@@ -47,6 +47,7 @@
 
     :ivar deadline_ms: until when the owner may answer.
     :ivar due_by_ms: until when, by the owner's answer, its token is to come.
+    :ivar lot: where its token came from, None for a node's own part.
     :ivar organisation: whose budget it needs.
     """
 
@@ -56,6 +57,7 @@
         'due_by_ms',
         'error',
         'event',
+        'lot',
         'organisation',
     )
 
@@ -65,11 +67,13 @@
         self.organisation = organisation
         self.error = None
         self.admitted = False
+        self.lot = None
         self.event = Event()
 
-    def admit(self):
+    def admit(self, lot=None):
         """Let the request go on."""
         self.admitted = True
+        self.lot = lot
         self.event.set()
 
     def refuse(self, error):
@@ -150,21 +154,33 @@
         return sum(lot.tokens for lot in lots if lot.expires_ms > now_ms)
 
     def take(self, now_ms):
-        """Use one token, oldest first; return whether there was one."""
+        """Use one token, oldest first; return its lot, None without one."""
         lots = self.lots
         while lots:
             lot = lots[0]
             if lot.tokens and now_ms < lot.expires_ms:
                 lot.tokens -= 1
-                return True
+                return lot
             lots.popleft()
-        return False
+        return None
+
+    def put_back(self, lot, now_ms):
+        """Take back a token whose request never ran, unless it has lapsed."""
+        if now_ms >= lot.expires_ms:
+            return
+        lot.tokens += 1
+        if not any(kept is lot for kept in self.lots):
+            self.lots.appendleft(lot)
+        self.admit_waiters(now_ms)
 
     def admit_waiters(self, now_ms):
         """Give the tokens at hand to waiting requests, in order."""
         waiters = self.waiters
-        while waiters and self.take(now_ms):
-            waiters.popleft().admit()
+        while waiters:
+            lot = self.take(now_ms)
+            if lot is None:
+                return
+            waiters.popleft().admit(lot)
 
     def admit_some(self, admits):
         """Let uncovered requests go on for which a function says so."""
--- a/damasklanding/budget/holdings.py
+++ b/damasklanding/budget/holdings.py
@@ -113,11 +113,13 @@
         :param organisation:
             :class:`damasklanding.fleet.resources.Organisation`.
         :param wait_ms: longest wait for the rate to allow the request.
+        :return: function to call where the request was not run after all,
+            so that another may use its token.
         :raises OverRate: above rate and burst; not admitted.
         :raises Unavailable: the budget can't be asked; not admitted.
         """
         if organisation.unlimited:
-            return
+            return _keep
         now_ms = self._now_ms()
         name = organisation.name
         holding = self._holdings.get(name)
@@ -125,15 +127,22 @@
             holding = self._holdings[name] = Holding(name, now_ms)
             self._in_use.set()
         holding.taken += 1
-        if not holding.waiters and holding.take(now_ms):
-            if not holding.asking and holding.lots[0].tokens <= holding.low:
+        lot = None if holding.waiters else holding.take(now_ms)
+        if lot is not None:
+            if not holding.asking and lot.tokens <= holding.low:
                 self._prefetch(holding, now_ms)
-            return
+            return self._returning(holding, lot)
         if now_ms < holding.alone_until_ms and self._shares.take(
             organisation, holding.portion, now_ms
         ):
-            return
-        self._wait(holding, organisation, wait_ms, now_ms)
+            return _keep
+        return self._wait(holding, organisation, wait_ms, now_ms)
+
+    def _returning(self, holding, lot):
+        """Return a function that puts a token back."""
+        if lot is None:
+            return _keep
+        return lambda: holding.put_back(lot, self._now_ms())
 
     def sweep(self):
         """Hand back surplus tokens and drop what is no longer in use."""
@@ -162,8 +171,9 @@
 
     def _wait(self, holding, organisation, wait_ms, now_ms):
         wait_ms = max(wait_ms, self._least_wait_ms)
-        due_ms = holding.horizon_ms - now_ms
-        if due_ms > wait_ms:
+        if holding.horizon_ms and self._waits_in_vain(
+            holding, organisation, wait_ms, now_ms
+        ):
             raise self._over_rate(holding, organisation)
         limit_ms = max(wait_ms, MIN_WAIT_MS)
         waiter = Waiter(now_ms + limit_ms, organisation, now_ms + wait_ms)
@@ -176,9 +186,20 @@
             if not waiter.event.is_set():
                 holding.waiters.remove(waiter)
         if waiter.admitted:
-            return
+            return self._returning(holding, waiter.lot)
         raise waiter.error or self._late(holding, organisation)
 
+    def _waits_in_vain(self, holding, organisation, wait_ms, now_ms):
+        """Return whether, the owner being dry, a token would come too late."""
+        if holding.horizon_ms - now_ms > wait_ms:
+            return True
+        ahead = len(holding.waiters) - holding.promised
+        return ahead >= max(1.0, wait_ms / self._spacing_ms(organisation))
+
+    def _spacing_ms(self, organisation):
+        """Return the time between two tokens of this node's even part."""
+        return 1000.0 * self._node_count() / organisation.rate_per_s
+
     def _ask(self, holding):
         if not holding.asking:
             holding.asking = True
@@ -324,10 +345,15 @@
         now_ms = self._now_ms()
         holding.note_refused(now_ms)
         due_ms = max(0.0, holding.horizon_ms - now_ms)
-        spacing_ms = 1000.0 * self._node_count() / organisation.rate_per_s
-        backlog_ms = holding.refused_lately(now_ms) * spacing_ms
+        backlog_ms = holding.refused_lately(now_ms) * self._spacing_ms(
+            organisation
+        )
         retry_ms = max(MIN_RETRY_AFTER_MS, due_ms + backlog_ms)
         return OverRate(
             f'{holding.name} is above its rate',
             retry_after_ms=int(min(MAX_RETRY_AFTER_MS, retry_ms)),
         )
+
+
+def _keep():
+    """Put nothing back: what admitted the request is not counted in lots."""
--- a/damasklanding/decisions.py
+++ b/damasklanding/decisions.py
@@ -80,15 +80,20 @@
         self._written = Counter()
         self._left_out = Counter()
 
-    def note(self, decision):
-        """Write a decision, or count it where its like have filled the cap."""
+    def note(self, event, reason, describe):
+        """
+        Write a decision, or count it where its like have filled the cap.
+
+        :param describe: function that returns the :class:`Decision`; called
+            only where it is written, since to put it together costs more.
+        """
         self._turn()
-        kind = f'{decision.event} {decision.reason}'
+        kind = f'{event} {reason}'
         if self._written[kind] >= LINES_PER_S:
             self._left_out[kind] += 1
             return
         self._written[kind] += 1
-        self._emit(decision)
+        self._emit(describe())
 
     def _turn(self):
         now_ms = self._now_ms()
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -168,8 +168,12 @@
         if left_ms <= 0:
             raise DeadlineExceeded('the request brought no time')
         wait_ms = min(profile.longest_wait_ms, int(left_ms))
-        self._holdings.take(organisation, wait_ms)
-        self._pressure.check(call.service, call.profile, call.importance)
+        put_back = self._holdings.take(organisation, wait_ms)
+        try:
+            self._pressure.check(call.service, call.profile, call.importance)
+        except Refusal:
+            put_back()
+            raise
 
     def _make_known(self, service):
         if service not in self._wanted:
--- a/damasklanding/node/forward.py
+++ b/damasklanding/node/forward.py
@@ -289,7 +289,7 @@
     if answer.status in SHED_STATUSES and (
         answer.outcome == NOT_RUN or answer.retry_after_ms
     ):
-        return Result.SHED
+        return Result.REJECTED
     return Result.FAILED if answer.status >= 500 else Result.OK
 
 
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -103,7 +103,11 @@
             reason,
         )
         if reason != OK and self._decisions is not None:
-            self._log(passage, answer, reason, detail)
+            self._decisions.note(
+                'answered',
+                reason,
+                lambda: self._describe(passage, answer, reason, detail),
+            )
         start_response(status_line(answer.status), self._dialect.pairs(answer))
         if answer.parts is None:
             return (answer.body,)
@@ -131,22 +135,35 @@
         call = self._call(request, head, passage, profile, organisation)
         call.body = body_from_request(request, self._settings.max_body_bytes)
         passage.call = call
+        if call.deadline_at_ms <= self._now_ms():
+            raise DeadlineExceeded('the request brought no time')
         # As the block of Hangup.watching, whose making would cost each call
         # as much as what it guards.
         request.hangup.watch(call.body, always)
         try:
-            self._take(call, organisation, profile)
-            if organisation is not None:
-                self._pressure.check(
-                    call.service, call.profile, call.importance
-                )
-                passage.checked = True
-            self._make_known(call.service)
-            return self._forwarder.forward(call)
+            if organisation is None:
+                self._make_known(call.service)
+                return self._forwarder.forward(call)
+            put_back = self._take(call, organisation, profile)
+            try:
+                answer = self._forward(call, passage)
+            except DamasklandingError as error:
+                if error.outcome == NOT_RUN or call.untouched():
+                    put_back()
+                raise
+            if answer.outcome == NOT_RUN:
+                put_back()
+            return answer
         finally:
             call.body.on_end = None
             request.hangup.stop()
 
+    def _forward(self, call, passage):
+        self._pressure.check(call.service, call.profile, call.importance)
+        passage.checked = True
+        self._make_known(call.service)
+        return self._forwarder.forward(call)
+
     def _authenticate(self, head):
         if head.key is None:
             raise KeyRefused('the request has no key')
@@ -192,37 +209,31 @@
         )
 
     def _take(self, call, organisation, profile):
+        """Admit by rate; return what puts the token back."""
         left_ms = call.deadline_at_ms - self._now_ms()
-        if left_ms <= 0:
-            raise DeadlineExceeded('the request brought no time')
-        if organisation is not None:
-            wait_ms = RATE_WAIT_SHARE * min(
-                profile.objective_latency_ms, left_ms
-            )
-            self._holdings.take(organisation, wait_ms)
+        wait_ms = RATE_WAIT_SHARE * min(profile.objective_latency_ms, left_ms)
+        return self._holdings.take(organisation, wait_ms)
 
-    def _log(self, passage, answer, reason, detail):
+    def _describe(self, passage, answer, reason, detail):
         call = passage.call
         now_ms = self._now_ms()
         age_ms = self._view.age_ms()
         configuration = self._view.configuration()
-        self._decisions.note(
-            Decision(
-                event='answered',
-                request_id=passage.request_id,
-                reason=reason,
-                outcome=answer.outcome,
-                service=passage.service,
-                organisation=passage.organisation,
-                importance=call.importance if call else 0,
-                status=answer.status,
-                attempts=call.attempt if call else 0,
-                took_ms=int(now_ms - passage.arrived_ms),
-                left_ms=int(call.deadline_at_ms - now_ms) if call else 0,
-                config_version=configuration.version if configuration else 0,
-                view_age_ms=-1 if age_ms == float('inf') else int(age_ms),
-                detail=detail,
-            )
+        return Decision(
+            event='answered',
+            request_id=passage.request_id,
+            reason=reason,
+            outcome=answer.outcome,
+            service=passage.service,
+            organisation=passage.organisation,
+            importance=call.importance if call else 0,
+            status=answer.status,
+            attempts=call.attempt if call else 0,
+            took_ms=int(now_ms - passage.arrived_ms),
+            left_ms=int(call.deadline_at_ms - now_ms) if call else 0,
+            config_version=configuration.version if configuration else 0,
+            view_age_ms=-1 if age_ms == float('inf') else int(age_ms),
+            detail=detail,
         )
 
     def _note_pressure(self, call, reason):
--- a/damasklanding/node/local.py
+++ b/damasklanding/node/local.py
@@ -175,23 +175,26 @@
         return answer
 
     def _log(self, call, error):
-        load = self._gate.load()
-        refused = error.outcome == NOT_RUN
+        event = 'refused' if error.outcome == NOT_RUN else 'failed'
         self._decisions.note(
-            Decision(
-                event='refused' if refused else 'failed',
-                request_id=call.request_id,
-                reason=error.code,
-                outcome=error.outcome,
-                service=call.service,
-                organisation=call.organisation,
-                importance=call.importance,
-                attempts=call.attempt,
-                left_ms=int(call.deadline_at_ms - self._now_ms()),
-                running=load.running,
-                queued=load.queued,
-                detail=error.problem,
-            )
+            event, error.code, lambda: self._describe(call, error, event)
+        )
+
+    def _describe(self, call, error, event):
+        load = self._gate.load()
+        return Decision(
+            event=event,
+            request_id=call.request_id,
+            reason=error.code,
+            outcome=error.outcome,
+            service=call.service,
+            organisation=call.organisation,
+            importance=call.importance,
+            attempts=call.attempt,
+            left_ms=int(call.deadline_at_ms - self._now_ms()),
+            running=load.running,
+            queued=load.queued,
+            detail=error.problem,
         )
 
     def _service_time_ms(self, call):
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -22,11 +22,28 @@
 EXPLORE_SHARE = 0.02  # of the choices are made without a comparison
 REPORT_FRESH_MS = 2_000.0
 LATENCY_SHARE = 0.1
+NEARLY_ALL = 0.99  # good outcomes, which count as all
+GOOD_SHARE = 0.1  # weight of one outcome in the share that is good
+GOOD_FADE_MS = 4_000.0  # after which a bad share is half forgotten
+#: Of the best share of good outcomes, below which a backend server is left
+#: to the exploring choices.
+SOUND_RATIO = 0.75
+LEAST_BEST_SHARE = 0.5  # where none does better, chance decides too much
 LATENCY_FADE_MS = 10_000.0
 SLOW_RATIO = 3.0  # an own backend server this much slower is not preferred
 COLD_SHARE = 0.25  # of a cold one's limit that one node may use
 
 FAILURE_POINTS = {Result.FAILED: 1, Result.RESET: 2, Result.TIMEOUT: 2}
+#: Results that tell something about the backend server itself.
+JUDGED = frozenset(
+    (
+        Result.OK,
+        Result.FAILED,
+        Result.REJECTED,
+        Result.RESET,
+        Result.TIMEOUT,
+    )
+)
 EJECT_POINTS = 4  # in a row
 EJECT_MS = 1_000.0
 MAX_EJECT_MS = 30_000.0
@@ -45,11 +62,13 @@
     __slots__ = (
         'ejected_until_ms',
         'ejections',
+        'good',
         'latency_ms',
         'outstanding',
         'points',
         'report',
         'reported_ms',
+        'judged_ms',
         'sampled_ms',
         'sent_since',
     )
@@ -62,9 +81,24 @@
         self.points = 0
         self.ejections = 0
         self.ejected_until_ms = float('-inf')
+        self.good = 1.0
+        self.judged_ms = 0.0
         self.latency_ms = 0.0
         self.sampled_ms = 0.0
 
+    def good_share(self, now_ms):
+        """Return the share of good outcomes; bad ones fade."""
+        if self.good > NEARLY_ALL:
+            return 1.0
+        kept = 0.5 ** ((now_ms - self.judged_ms) / GOOD_FADE_MS)
+        return 1.0 - (1.0 - self.good) * kept
+
+    def judge(self, good, now_ms):
+        """Take in whether an outcome was good."""
+        share = self.good_share(now_ms)
+        self.good = share + GOOD_SHARE * (float(good) - share)
+        self.judged_ms = now_ms
+
 
 class Router:
     """
@@ -133,7 +167,7 @@
         if len(usable) == 1:
             self._check_shed(usable, work)
             return usable[0].backend
-        healthy = _healthy(usable, now_ms)
+        healthy = self._sound(_healthy(usable, now_ms), now_ms)
         for tier in self._tiers(healthy, now_ms):
             best = self._best(tier, now_ms)
             if best is not None and self._has_room(best):
@@ -141,6 +175,22 @@
         self._check_shed(healthy, work)
         return self._best(healthy, now_ms).backend
 
+    def _sound(self, candidates, now_ms):
+        """Leave out those whose calls fail far more often than others'."""
+        if all(candidate.peer.good > NEARLY_ALL for candidate in candidates):
+            return candidates
+        if self._random.random() < EXPLORE_SHARE:
+            return candidates
+        shares = [c.peer.good_share(now_ms) for c in candidates]
+        best = max(shares)
+        if best < LEAST_BEST_SHARE:
+            return candidates
+        return [
+            candidate
+            for candidate, share in zip(candidates, shares, strict=True)
+            if share >= SOUND_RATIO * best
+        ]
+
     def _usable(self, backends, excluded, now_ms):
         usable = []
         known = self._candidates
@@ -169,6 +219,8 @@
         peer = self._peer(name)
         peer.outstanding = max(0, peer.outstanding - 1)
         peer.sent_since = max(0, peer.sent_since - 1)
+        if result in JUDGED:
+            peer.judge(result is Result.OK, self._now_ms())
         if result is Result.OK:
             peer.points = 0
             peer.ejections = 0
--- a/damasklanding/policy/work.py
+++ b/damasklanding/policy/work.py
@@ -19,6 +19,7 @@
     OK = 'ok'
     FAILED = 'failed'  # an answer that reports a server error
     SHED = 'shed'  # an answer that says the backend server had no room
+    REJECTED = 'rejected'  # the same, though its node had found room there
     RESET = 'reset'  # the connection broke
     TIMEOUT = 'timeout'
     CANCELLED = 'cancelled'  # says nothing about the backend server
--- a/tests/budget_fleet.py
+++ b/tests/budget_fleet.py
@@ -49,6 +49,7 @@
         self.time = fleet.time
         self.frozen_until_ms = 0.0
         self.starts = 1
+        self.put_back = None
         self.jobs = []
         self.sent = []
         self.start()
@@ -207,7 +208,7 @@
         if organisation is None:
             return False
         try:
-            node.holdings.take(organisation, wait_ms)
+            node.put_back = node.holdings.take(organisation, wait_ms)
         except DamasklandingError as error:
             return error
         self.uses.append(self.time())
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -54,10 +54,20 @@
 
 
 class FreeHoldings:
-    """Admits everything."""
+    """
+    Admits everything.
+
+    :ivar returned: tokens that were put back.
+    """
+
+    def __init__(self):
+        self.returned = 0
 
     def take(self, organisation, wait_ms):
-        return None
+        return self._put_back
+
+    def _put_back(self):
+        self.returned += 1
 
 
 class Claims:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -32,8 +32,12 @@
     )
 
 
+def note(log, request_id, reason='overloaded'):
+    log.note('refused', reason, lambda: refused(request_id, reason))
+
+
 def test_line_says_what_decided(log, lines):
-    log.note(refused('9c41'))
+    note(log, '9c41')
     (line,) = map(json.loads, lines)
     assert line['request_id'] == '9c41'
     assert line['reason'] == 'overloaded'
@@ -46,11 +50,11 @@
     log, lines, clock
 ):
     for number in range(500):
-        log.note(refused(str(number)))
-    log.note(refused('other', 'draining'))
+        note(log, str(number))
+    note(log, 'other', 'draining')
     assert len(lines) == LINES_PER_S + 1
     clock[0] += 1_001.0
-    log.note(refused('next'))
+    note(log, 'next')
     summary = json.loads(lines[-2])
     assert summary['event'] == 'left-out'
     assert summary['counts'] == {'refused overloaded': 500 - LINES_PER_S}
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -316,3 +316,27 @@
     assert len(refused) == 40
     # The last one waits for all before it, 10 ms each.
     assert max(error.retry_after_ms for error in refused) >= 400
+
+
+def test_token_of_a_request_that_never_ran_serves_another(build):
+    fleet = build(burst=20, least_wait_ms=0)
+    node = fleet.nodes[1]
+    jobs = [fleet.take(node) for _ in range(40)]
+    fleet.time.run_for(5)
+    assert isinstance(jobs[-1].value, OverRate)
+    fleet.uses.pop()
+    node.put_back()
+    job = fleet.take(node)
+    fleet.time.run_for(1)
+    assert job.value is True
+
+
+def test_token_put_back_after_its_life_is_worth_nothing(build):
+    fleet = build(burst=20, least_wait_ms=0)
+    node, owner = fleet.nodes[1], fleet.nodes[0]
+    for _ in range(40):
+        fleet.take(node)
+    fleet.time.run_for(300)
+    fleet.cut.add((node.address, owner.address))
+    node.put_back()
+    assert node.holdings._holdings['acme'].held(fleet.time()) == 0
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -162,3 +162,40 @@
     gone = backends.pop()
     after = {item.name for item in router.subset(backends)}
     assert len(before - after) == (gone.name in before)
+
+
+@pytest.mark.parametrize(
+    'result', [Result.FAILED, Result.REJECTED, Result.TIMEOUT]
+)
+def test_backend_server_that_fails_half_of_its_calls_is_left_to_probes(
+    router, clock, result
+):
+    for item in FLEET:
+        report(router, item.name)
+    for number in range(60):
+        clock[0] += 5.0
+        router.finished('own', result if number % 2 else Result.OK, 20.0)
+        for name in ('near-1', 'near-2'):
+            router.finished(name, Result.OK, 20.0)
+    shares = chosen(router, 200)
+    assert shares['own'] < 20
+    # Without calls it is given another chance after a while.
+    clock[0] += 30_000.0
+    for item in FLEET:
+        report(router, item.name)
+    assert chosen(router, 50)['own'] > 40
+
+
+def test_backend_servers_that_all_fail_alike_share_the_calls(router, clock):
+    for item in FLEET:
+        report(router, item.name)
+    for number in range(200):
+        clock[0] += 5.0
+        for item in FLEET:
+            result = Result.OK if number % 5 == 0 else Result.FAILED
+            router.finished(item.name, result, 20.0)
+    clock[0] += 31_000.0
+    for item in FLEET:
+        report(router, item.name)
+        router.finished(item.name, Result.FAILED, 20.0)
+    assert chosen(router, 50)['own'] > 25
