Refuse what is above a rate before the call is put together

Ruled out: refusing before the key is known; rates are organisations'. Now: Holdings.check refuses at once what take would refuse without asking. Test: test_check_refuses_what_would_be_refused_and_nothing_else.

--- a/damasklanding/budget/holdings.py
+++ b/damasklanding/budget/holdings.py
@@ -144,6 +144,22 @@
             return _keep
         return lambda: holding.put_back(lot, self._now_ms())
 
+    def check(self, organisation, wait_ms):
+        """
+        Refuse at once what :meth:`take` would refuse without asking.
+
+        :raises OverRate: above rate and burst; not admitted.
+        """
+        holding = self._holdings.get(organisation.name)
+        if holding is None or not holding.horizon_ms:
+            return
+        now_ms = self._now_ms()
+        if now_ms < holding.alone_until_ms or holding.held(now_ms):
+            return
+        if self._waits_in_vain(holding, organisation, wait_ms, now_ms):
+            holding.taken += 1
+            raise self._over_rate(holding, organisation)
+
     def sweep(self):
         """Hand back surplus tokens and drop what is no longer in use."""
         now_ms = self._now_ms()
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -130,6 +130,12 @@
         if configuration.keyed and not route.keyless:
             organisation = self._authenticate(head)
             passage.organisation = organisation.name
+            timeout_ms = _timeout_ms(head, profile)
+            wait_ms = RATE_WAIT_SHARE * min(
+                profile.objective_latency_ms, timeout_ms
+            )
+            # What is refused anyway costs no more than this.
+            self._holdings.check(organisation, wait_ms)
         part = choose_part(route.parts, self._random.random())
         passage.service = part.service
         call = self._call(request, head, passage, profile, organisation)
@@ -144,7 +150,7 @@
             if organisation is None:
                 self._make_known(call.service)
                 return self._forwarder.forward(call)
-            put_back = self._take(call, organisation, profile)
+            put_back = self._holdings.take(organisation, wait_ms)
             try:
                 answer = self._forward(call, passage)
             except DamasklandingError as error:
@@ -175,9 +181,6 @@
     def _call(self, request, head, passage, profile, organisation):
         if not head.request_id:
             raise BadInput('the request has no id', 'send one with each try')
-        timeout_ms = profile.timeout_ms
-        if head.deadline_ms is not None:
-            timeout_ms = min(timeout_ms, head.deadline_ms)
         importance = profile.importance
         parent = None
         if organisation is None:
@@ -194,7 +197,7 @@
             profile=profile.name,
             organisation=passage.organisation,
             importance=importance,
-            deadline_at_ms=self._now_ms() + timeout_ms,
+            deadline_at_ms=passage.arrived_ms + _timeout_ms(head, profile),
             allowance=Allowance(profile.retries),
             depth=0,
             method=request.method,
@@ -208,12 +211,6 @@
             idempotent=profile.idempotent,
         )
 
-    def _take(self, call, organisation, profile):
-        """Admit by rate; return what puts the token back."""
-        left_ms = call.deadline_at_ms - self._now_ms()
-        wait_ms = RATE_WAIT_SHARE * min(profile.objective_latency_ms, left_ms)
-        return self._holdings.take(organisation, wait_ms)
-
     def _describe(self, passage, answer, reason, detail):
         call = passage.call
         now_ms = self._now_ms()
@@ -250,6 +247,13 @@
             self._wanted.add(service)
 
 
+def _timeout_ms(head, profile):
+    """Return the time that a request has in all."""
+    if head.deadline_ms is None:
+        return profile.timeout_ms
+    return min(profile.timeout_ms, head.deadline_ms)
+
+
 class _Passage:
     """
     What is known of a request so far.
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -63,6 +63,9 @@
     def __init__(self):
         self.returned = 0
 
+    def check(self, organisation, wait_ms):
+        return None
+
     def take(self, organisation, wait_ms):
         return self._put_back
 
--- a/tests/test_holdings.py
+++ b/tests/test_holdings.py
@@ -340,3 +340,20 @@
     fleet.cut.add((node.address, owner.address))
     node.put_back()
     assert node.holdings._holdings['acme'].held(fleet.time()) == 0
+
+
+def test_check_refuses_what_would_be_refused_and_nothing_else(build):
+    fleet = build(burst=20, least_wait_ms=0)
+    node = fleet.nodes[1]
+    organisation = fleet.organisation
+    node.holdings.check(organisation, 0)
+    for _ in range(40):
+        fleet.take(node)
+    fleet.time.run_for(5)
+    with pytest.raises(OverRate):
+        node.holdings.check(organisation, 0)
+    fleet.run_for(1_000)
+    job = fleet.take(node)
+    fleet.time.run_for(5)
+    assert job.value is True
+    node.holdings.check(organisation, 0)
