Split the composition root and the caller connection; test the token's return

Cause: composition.py (544 lines) branched eight times on the interface, and http.py (450 lines) held a connection and its listener. Now: interfaces.py has one record of functions for each interface; connections.py reads requests and sends answers, http.py listens.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -14,6 +14,7 @@
 
 from damasklanding.clock import monotonic_ms
 from damasklanding.decisions import DecisionLog
+from damasklanding.interfaces import INTERFACES
 from damasklanding.link import Identity
 from damasklanding.link import LinkOptions
 from damasklanding.link import parse_address
@@ -25,13 +26,7 @@
 __all__ = ['Daemon']
 
 BEAT_MS = 300
-HANDOVER_TIMEOUT_MS = 3_000
 LEADERLESS_MS = 3_000
-#: Shares of the time from SIGTERM to SIGKILL: callers are sent away within
-#: two questions a second apart, and the last tenth is for closing.
-LEAVE_SHARE = 0.45
-STOP_SHARE = 0.8
-CLOSE_SHARE = 0.1
 
 
 class DaemonStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -168,9 +163,6 @@
     """A control host: the replicated logs, leases, watch and admin API."""
 
     def __init__(self, daemon):
-        from damasklanding.claims.commands import CLAIMS_GROUP
-        from damasklanding.claims.machine import ClaimMachine
-        from damasklanding.claims.ticker import Ticker
         from damasklanding.control.host import ControlHost
         from damasklanding.control.watch import WatchServer
         from damasklanding.telemetry import FleetTelemetry
@@ -179,18 +171,8 @@
         self.host = ControlHost(
             settings, daemon.identity, daemon.pool, daemon.metrics
         )
-        self.services = []
-        if settings.serves_platform:
-            self.services.append(_operator_server(settings, self.host))
-        else:
-            claims = self.host.add_group(CLAIMS_GROUP, ClaimMachine())
-            self.services.append(
-                Ticker(
-                    claims.propose,
-                    lambda: claims.role == 'leader',
-                    monotonic_ms,
-                )
-            )
+        interface = INTERFACES[settings.interface]
+        self.services = interface.control_services(settings, self.host)
         self.telemetry = FleetTelemetry()
         self.watch = WatchServer(self.host.view, self.beat)
         self.host.watchers = self.watch.watchers
@@ -246,6 +228,7 @@
         from damasklanding.node.view import FleetView
         from damasklanding.node.watch import WatchClient
         from damasklanding.policy.gate import build_gate
+        from damasklanding.policy.pressure import Pressure
         from damasklanding.policy.retry import RetryBudget
         from damasklanding.policy.routing import Router
         from damasklanding.policy.work import decode_load
@@ -258,7 +241,10 @@
         self.settings = settings
         self._owners = 0
         self._counted_at = None
-        self.gate = build_gate('', build_limiter=self._limiter(settings))
+        self.interface = INTERFACES[settings.interface]
+        self.gate = build_gate(
+            '', build_limiter=self.interface.limiter(self._cold_rate_per_s)
+        )
         self.telemetry = NodeTelemetry(self.gate.load, daemon.metrics)
         self._fresh_limit_ms = settings.fresh_limit_ms
         self._decode_load = decode_load
@@ -301,9 +287,7 @@
             monotonic_ms,
             daemon.metrics,
             identity.name,
-            shares=self._shares(settings),
-            node_count=lambda: max(1, self._owner_count()),
-            **self._rate_waits(settings),
+            **self.interface.rate_options(self._owner_count),
         )
         self.router = Router(
             identity.name,
@@ -323,18 +307,20 @@
             self.holdings,
             ClaimClient(client, monotonic_ms, daemon.metrics),
             daemon.metrics,
-            self._pressure(settings, random.Random(identity.instance).random),
+            Pressure(
+                monotonic_ms,
+                random.Random(identity.instance).random,
+                self.interface.leniency(),
+            ),
             on_announce=self.registration.announce,
             want=self.watch.want,
-            dialects=_dialects(settings),
+            dialects=self.interface.dialects(),
             decisions=DecisionLog(
                 daemon.write_line, settings.name, monotonic_ms
             ),
         )
-        self.services = []
         self.leaving = False
-        if settings.serves_platform:
-            self.services = _platform_servers(self, settings)
+        self.services = self.interface.node_services(self)
         daemon.handlers.update(self.owner.handlers())
         daemon.handlers.update(self.node.handlers())
         if control is None:
@@ -358,12 +344,8 @@
         """Leave the fleet, let running requests end, then stop."""
         self.leaving = True
         self.registration.leave()
-        handover_ms = min(drain_timeout_ms, HANDOVER_TIMEOUT_MS)
-        if self.settings.serves_platform:
-            grace_ms = self.settings.stop_grace_ms
-            drain_timeout_ms = self._serve_on()
-            handover_ms = CLOSE_SHARE * grace_ms
-        self.node.drain(drain_timeout_ms)
+        drain_ms, handover_ms = self.interface.leave(self, drain_timeout_ms)
+        self.node.drain(drain_ms)
         # Without a quorum neither ends by itself; the lease ends both.
         with gevent.Timeout(handover_ms / 1000, False):
             self.owner.drain(handover_ms)
@@ -383,35 +365,6 @@
             return 'this node has no configuration yet'
         return ''
 
-    def _serve_on(self):
-        """Serve until callers have gone; return the time left to drain."""
-        grace_ms = self.settings.stop_grace_ms
-        self.node.announce_leaving()
-        gevent.sleep(LEAVE_SHARE * grace_ms / 1000)
-        return STOP_SHARE * grace_ms - LEAVE_SHARE * grace_ms
-
-    def _pressure(self, settings, draw):
-        from damasklanding.policy.pressure import CHAIN_LENIENCY
-        from damasklanding.policy.pressure import DEFAULT_LENIENCY
-        from damasklanding.policy.pressure import Pressure
-
-        leniency = DEFAULT_LENIENCY
-        if settings.serves_platform:
-            leniency = CHAIN_LENIENCY
-        return Pressure(monotonic_ms, draw, leniency)
-
-    def _shares(self, settings):
-        if not settings.serves_platform:
-            return None
-        from damasklanding.budget.shares import LocalShares
-
-        return LocalShares(self._owner_count)
-
-    def _rate_waits(self, settings):
-        # Routes there say how soon an answer is wanted, so that a wait
-        # beyond a part of that is of no use.
-        return {'least_wait_ms': 0} if settings.serves_platform else {}
-
     def _owner_count(self):
         """Return the number of nodes; each owns some of the shards."""
         position = self.view.state.position()
@@ -421,18 +374,6 @@
             self._counted_at = position
         return self._owners
 
-    def _limiter(self, settings):
-        from damasklanding.policy.announced import AnnouncedLimiter
-        from damasklanding.policy.limiter import Limiter
-
-        if not settings.serves_platform:
-            return Limiter
-
-        def build(now_ms):
-            return AnnouncedLimiter(now_ms, self._cold_rate_per_s)
-
-        return build
-
     def _cold_rate_per_s(self):
         service = self.view.state.get('service', self.gate.service)
         return service.cold_rate_per_s if service is not None else 0.0
@@ -485,44 +426,6 @@
             gevent.sleep(BEAT_MS / 1000)
 
 
-def _dialects(settings):
-    if not settings.serves_platform:
-        return None
-    from damasklanding.platform.requests import BACKEND_DIALECT
-    from damasklanding.platform.requests import CALLER_DIALECT
-
-    return CALLER_DIALECT, BACKEND_DIALECT
-
-
-def _platform_servers(role, settings):
-    """Return the listeners for announcements and for readiness."""
-    from damasklanding.node.presence import Presence
-    from damasklanding.operations import readiness_app
-    from damasklanding.platform.announcements import announcement_app
-    from damasklanding.wsgi import wsgi_server
-
-    presence = Presence(settings.backend_address, role.node.announce)
-    return [
-        wsgi_server(
-            parse_address(settings.announce_address),
-            announcement_app(presence),
-        ),
-        wsgi_server(
-            parse_address(settings.readiness_address),
-            readiness_app(role.not_ready),
-        ),
-    ]
-
-
-def _operator_server(settings, host):
-    from damasklanding.platform.operators import operator_app
-    from damasklanding.wsgi import wsgi_server
-
-    return wsgi_server(
-        parse_address(settings.operator_address), operator_app(host)
-    )
-
-
 def _admin_server(settings, host, metrics, telemetry):
     from damasklanding.control.admin import admin_app
     from damasklanding.operators import OperatorTokens
--- /dev/null
+++ b/damasklanding/interfaces.py
@@ -0,0 +1,162 @@
+"""
+damasklanding.interfaces
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+What varies with how callers, backend servers and operators of a deployment
+speak: one record of functions for each interface, by its name in the
+settings.  The parts are imported only by processes that use them.
+"""
+
+from dataclasses import dataclass
+
+import gevent
+
+from damasklanding.clock import monotonic_ms
+from damasklanding.link import parse_address
+
+__all__ = ['INTERFACES', 'Interface']
+
+HANDOVER_TIMEOUT_MS = 3_000
+#: Shares of the time from SIGTERM to SIGKILL: callers are sent away within
+#: two questions a second apart, and the last tenth is for closing.
+LEAVE_SHARE = 0.45
+STOP_SHARE = 0.8
+CLOSE_SHARE = 0.1
+
+
+@dataclass(frozen=True)
+class Interface:
+    """
+    The variable parts of a daemon; each is a function.
+
+    :ivar control_services: of settings and control host; services that run
+        beside it.
+    :ivar dialects: returns those of callers and backend servers, or None.
+    :ivar limiter: of a function that returns the cold rate; returns what
+        builds the gate's limiter from a clock.
+    :ivar leniency: returns how much of failing chains is let through.
+    :ivar rate_options: of a function that counts nodes; arguments of
+        :class:`~damasklanding.budget.holdings.Holdings`.
+    :ivar node_services: of the node role; further listeners.
+    :ivar leave: of the node role and the drain timeout; serves callers until
+        they have gone, and returns the milliseconds left for draining and
+        for handing over.
+    """
+
+    control_services: object
+    dialects: object
+    limiter: object
+    leniency: object
+    rate_options: object
+    node_services: object
+    leave: object
+
+
+def _own_control_services(_settings, host):
+    from damasklanding.claims.commands import CLAIMS_GROUP
+    from damasklanding.claims.machine import ClaimMachine
+    from damasklanding.claims.ticker import Ticker
+
+    claims = host.add_group(CLAIMS_GROUP, ClaimMachine())
+    return [
+        Ticker(claims.propose, lambda: claims.role == 'leader', monotonic_ms)
+    ]
+
+
+def _own_limiter(_cold_rate_per_s):
+    from damasklanding.policy.limiter import Limiter
+
+    return Limiter
+
+
+def _own_leniency():
+    from damasklanding.policy.pressure import DEFAULT_LENIENCY
+
+    return DEFAULT_LENIENCY
+
+
+def _own_leave(_role, drain_timeout_ms):
+    return drain_timeout_ms, min(drain_timeout_ms, HANDOVER_TIMEOUT_MS)
+
+
+def _platform_control_services(settings, host):
+    from damasklanding.platform.operators import operator_app
+    from damasklanding.wsgi import wsgi_server
+
+    address = parse_address(settings.operator_address)
+    return [wsgi_server(address, operator_app(host))]
+
+
+def _platform_dialects():
+    from damasklanding.platform.requests import BACKEND_DIALECT
+    from damasklanding.platform.requests import CALLER_DIALECT
+
+    return CALLER_DIALECT, BACKEND_DIALECT
+
+
+def _platform_limiter(cold_rate_per_s):
+    from damasklanding.policy.announced import AnnouncedLimiter
+
+    return lambda now_ms: AnnouncedLimiter(now_ms, cold_rate_per_s)
+
+
+def _platform_leniency():
+    from damasklanding.policy.pressure import CHAIN_LENIENCY
+
+    return CHAIN_LENIENCY
+
+
+def _platform_rate_options(count_nodes):
+    from damasklanding.budget.shares import LocalShares
+
+    # Routes say how soon an answer is wanted, so that a longer wait than a
+    # part of that is of no use.
+    return {
+        'shares': LocalShares(count_nodes),
+        'node_count': lambda: max(1, count_nodes()),
+        'least_wait_ms': 0,
+    }
+
+
+def _platform_node_services(role):
+    from damasklanding.node.presence import Presence
+    from damasklanding.operations import readiness_app
+    from damasklanding.platform.announcements import announcement_app
+    from damasklanding.wsgi import wsgi_server
+
+    settings = role.settings
+    presence = Presence(settings.backend_address, role.node.announce)
+    apps = (
+        (settings.announce_address, announcement_app(presence)),
+        (settings.readiness_address, readiness_app(role.not_ready)),
+    )
+    return [wsgi_server(parse_address(at), app) for at, app in apps]
+
+
+def _platform_leave(role, _drain_timeout_ms):
+    grace_ms = role.settings.stop_grace_ms
+    role.node.announce_leaving()
+    gevent.sleep(LEAVE_SHARE * grace_ms / 1000)
+    return (STOP_SHARE - LEAVE_SHARE) * grace_ms, CLOSE_SHARE * grace_ms
+
+
+INTERFACES = {
+    'own': Interface(
+        control_services=_own_control_services,
+        dialects=lambda: None,
+        limiter=_own_limiter,
+        leniency=_own_leniency,
+        rate_options=lambda _count_nodes: {},
+        node_services=lambda _role: [],
+        leave=_own_leave,
+    ),
+    'platform': Interface(
+        control_services=_platform_control_services,
+        dialects=_platform_dialects,
+        limiter=_platform_limiter,
+        leniency=_platform_leniency,
+        rate_options=_platform_rate_options,
+        node_services=_platform_node_services,
+        leave=_platform_leave,
+    ),
+}
--- a/damasklanding/node/egress.py
+++ b/damasklanding/node/egress.py
@@ -29,8 +29,8 @@
 from damasklanding.node.answers import streamed
 from damasklanding.node.bodies import body_from_request
 from damasklanding.node.calls import Call
+from damasklanding.node.connections import status_line
 from damasklanding.node.hangup import always
-from damasklanding.node.http import status_line
 
 __all__ = ['Egress']
 
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -27,7 +27,7 @@
 from damasklanding.node.bodies import body_from_request
 from damasklanding.node.calls import Allowance
 from damasklanding.node.calls import Call
-from damasklanding.node.http import status_line
+from damasklanding.node.connections import status_line
 from damasklanding.node.once import Once
 from damasklanding.node.view import key_digest
 
--- a/damasklanding/node/http.py
+++ b/damasklanding/node/http.py
@@ -2,45 +2,25 @@
 damasklanding.node.http
 ~~~~~~~~~~~~~~~~~~~~~~~
 
-HTTP/1.1 listener on gevent's WSGI server.  It checks the request head
-strictly, bounds sizes and times, and sends a small answer in one write.
+HTTP/1.1 listener on gevent's WSGI server.
 """
 
 from dataclasses import dataclass
-from http.client import responses
-from io import BufferedReader
-from io import BytesIO
-from io import RawIOBase
 import socket
 import time
 
 import gevent
-from gevent.pywsgi import Input
-from gevent.pywsgi import WSGIHandler
 from gevent.pywsgi import WSGIServer
 from gevent.pywsgi import format_date_time
 
 from damasklanding.clock import monotonic_ms
-from damasklanding.errors import BadInput
-from damasklanding.errors import DamasklandingError
-from damasklanding.errors import HeadersTooLarge
-from damasklanding.errors import HeaderTimeout
-from damasklanding.errors import NotImplementedHere
-from damasklanding.errors import TooLarge
 from damasklanding.link import parse_address
-from damasklanding.node.answers import answer_from_error
-from damasklanding.node.hangup import Hangup
-from damasklanding.node.heads import Request
-from damasklanding.node.heads import parse_head
+from damasklanding.node.connections import CallerConnection
 
-__all__ = ['Limits', 'Listener', 'send_all', 'status_line']
+__all__ = ['Limits', 'Listener']
 
-MAX_DISCARD_BYTES = 64 * 1024
-RECEIVE_BYTES = 64 * 1024
 SWEEP_MS = 1_000
 
-_NO_BODY = frozenset((204, 304))
-
 
 @dataclass(frozen=True)
 class Limits:
@@ -52,322 +32,6 @@
     idle_timeout_ms: int
 
 
-class _Rest(RawIOBase):
-    """
-    What comes on a connection, behind bytes that were read from it before.
-
-    :param held: the bytes.
-    """
-
-    def __init__(self, sock, held):
-        self._sock = sock
-        self._held = held
-
-    def readable(self):
-        """Return that it can be read from."""
-        return True
-
-    def readinto(self, buffer):
-        """Read some bytes into a buffer; return how many, 0 at the end."""
-        held = self._held
-        if not held:
-            return self._sock.recv_into(buffer)
-        size = min(len(buffer), len(held))
-        buffer[:size] = held[:size]
-        self._held = held[size:]
-        return size
-
-
-class _Handler(WSGIHandler):
-    """
-    One caller connection.
-
-    A request that comes in one piece, as nearly all do, is taken from the
-    bytes received; the first one that does not makes a buffered reader.
-    """
-
-    busy = False
-    idle_since_ms = 0.0
-
-    def __init__(self, sock, address, server):
-        self.socket = sock
-        self.client_address = address
-        self.server = server
-        self.rfile = None
-        self._held = b''
-
-    def handle(self):
-        """Serve requests until the connection ends."""
-        self.hangup = Hangup(self.socket)
-        self.server.connections.add(self)
-        try:
-            super().handle()
-        finally:
-            self.hangup.close()
-            self.server.connections.discard(self)
-
-    def handle_one_request(self):
-        """Serve one request; return True where more may follow."""
-        self.busy = False
-        try:
-            request = self._read_request()
-        except DamasklandingError as error:
-            self._reject(error)
-            return None
-        except OSError:
-            return None
-        if request is None:
-            return None
-        self.busy = True
-        try:
-            keep = self._respond(request)
-        finally:
-            self.busy = False
-        return True if keep else None
-
-    def close_idle(self):
-        """End a connection that waits for its next request."""
-        try:
-            self.socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
-
-    def _read_request(self):
-        limits = self.server.limits
-        self.idle_since_ms = monotonic_ms()
-        if self.rfile is None:
-            data = self._held
-            if not data:
-                # The listener's sweep ends idle connections; a timer for
-                # each request would cost more.
-                self.hangup.wait_readable()
-                data = self.socket.recv(RECEIVE_BYTES)
-                if not data:
-                    return None
-            request = self._request_from(data, limits)
-            if request is not None:
-                return request
-            self._held = b''
-            self.rfile = BufferedReader(_Rest(self.socket, data))
-        self.socket.settimeout(None)
-        head = self.rfile.peek(1)
-        if not head:
-            return None
-        end = head.find(b'\r\n\r\n')
-        if 0 < end <= limits.max_header_bytes:
-            self.rfile.read(end + 4)
-            head = head[:end]
-        else:
-            head = self._read_head_slowly(limits)
-            if head is None:
-                return None
-        request = parse_head(head)
-        self._attach_body(request, limits)
-        return request
-
-    def _request_from(self, data, limits):
-        """Return the request that bytes begin with, None unless whole."""
-        end = data.find(b'\r\n\r\n')
-        if not 0 < end <= limits.max_header_bytes:
-            return None
-        request = parse_head(data[:end])
-        begin = end + 4
-        if request.length is None or 'expect' in request.named:
-            return None
-        rest = begin + request.length
-        if rest > len(data):
-            return None
-        if request.length:
-            _check_length(request, limits)
-            request.body = BytesIO(data[begin:rest])
-        request.hangup = self.hangup
-        self._held = data[rest:]
-        return request
-
-    def _read_head_slowly(self, limits):
-        error = HeaderTimeout('the headers did not come in time')
-        self.idle_since_ms = float('inf')
-        lines = []
-        size = 0
-        with gevent.Timeout(limits.header_timeout_ms / 1000, error):
-            while True:
-                line = self.rfile.readline(limits.max_header_bytes + 3)
-                size += len(line)
-                if size > limits.max_header_bytes + 4:
-                    raise HeadersTooLarge(
-                        f'more than {limits.max_header_bytes} header bytes'
-                    )
-                if not line:
-                    return None
-                if not line.endswith(b'\r\n'):
-                    raise BadInput('a header line does not end in CRLF')
-                if line == b'\r\n':
-                    return b''.join(lines)[:-2]
-                lines.append(line)
-
-    def _attach_body(self, request, limits):
-        _check_length(request, limits)
-        expect = request.named.get('expect')
-        if expect is not None and expect.lower() != '100-continue':
-            raise NotImplementedHere(f'expectation {expect[:20]!r}')
-        sock = self.socket if expect else None
-        chunked = request.length is None
-        request.body = Input(self.rfile, request.length, sock, chunked)
-        request.hangup = self.hangup
-        self.socket.settimeout(limits.header_timeout_ms / 1000)
-
-    def _respond(self, request):
-        """Run the application; return whether the connection may go on."""
-        connection = request.named.get('connection', '').lower()
-        keep = 'close' not in connection
-        if not request.minor_version:
-            keep = 'keep-alive' in connection
-        self.request = request
-        self.head = b''
-        self.sent_head = False
-        environ = {
-            'REQUEST_METHOD': request.method,
-            'PATH_INFO': request.path,
-            'damasklanding.request': request,
-        }
-        self.keep = keep
-        try:
-            self._run(environ)
-        except DamasklandingError as error:
-            # What was handed over by then is not known here.
-            self.server.on_bad_input(error)
-            if not self.sent_head:
-                self._send_error(error)
-            self.keep = False
-        except OSError:
-            return False
-        except Exception as error:  # noqa: BLE001
-            self._fail(error)
-        return self.keep and self._body_consumed(request)
-
-    def _run(self, environ):
-        result = self.server.application(environ, self.start_response)
-        try:
-            for part in result:
-                self._send_part(part)
-            if not self.sent_head:
-                self._send_part(b'')
-        finally:
-            close = getattr(result, 'close', None)
-            if close is not None:
-                close()
-        if self.chunked:
-            self.socket.sendall(b'0\r\n\r\n')
-
-    def start_response(self, status, headers, exc_info=None):
-        """Keep the head until the first part of the body."""
-        self.head_status = status
-        self.head_headers = headers
-
-    def _send_part(self, part):
-        if not self.sent_head:
-            head = self._build_head()
-            part = self._frame(part)
-            self.sent_head = True
-            send_all(self.socket, head + part)
-        elif part:
-            send_all(self.socket, self._frame(part))
-
-    def _frame(self, part):
-        if self.request.method == 'HEAD':
-            return b''
-        if self.chunked and part:
-            return b'%x\r\n%b\r\n' % (len(part), part)
-        return part
-
-    def _build_head(self):
-        lines = ['HTTP/1.1 ', self.head_status]
-        sized = False
-        for name, value in self.head_headers:
-            if name == 'content-length':
-                sized = True
-            lines += ('\r\n', name, ': ', value)
-        bodiless = int(self.head_status[:3]) in _NO_BODY
-        head = self.request.method == 'HEAD'
-        self.chunked = not sized and not bodiless and not head
-        if self.chunked and not self.request.minor_version:
-            self.chunked = False
-            self.keep = False
-        if self.chunked:
-            lines.append('\r\ntransfer-encoding: chunked')
-        if not self.keep or self.server.draining or self._unread_body():
-            self.keep = False
-            lines.append('\r\nconnection: close')
-        elif not self.request.minor_version:
-            lines.append('\r\nconnection: keep-alive')
-        lines.append(self.server.date_line())
-        return ''.join(lines).encode('latin-1')
-
-    def _unread_body(self):
-        if type(self.request.body) is not Input:
-            return False
-        length = self.request.length
-        if length is None:
-            return self.request.body.chunk_length != 0
-        return length - self.request.body.position > MAX_DISCARD_BYTES
-
-    def _body_consumed(self, request):
-        if type(request.body) is not Input:
-            return True
-        try:
-            request.body._discard()
-        except OSError:
-            return False
-        return not request.body._chunked_input_error
-
-    def _fail(self, error):
-        problem = DamasklandingError(
-            f'the request failed here ({type(error).__name__})'
-        )
-        self.server.on_bad_input(problem)
-        if not self.sent_head:
-            self._send_error(problem)
-        self.keep = False
-
-    def _reject(self, error):
-        error.outcome = 'not-run'
-        self.server.on_bad_input(error)
-        self._send_error(error)
-
-    def _send_error(self, error):
-        self.keep = False
-        self.sent_head = False
-        self.request = Request('GET', '/', '/', 1, [], {})
-        answer = answer_from_error(error)
-        try:
-            self.start_response(status_line(answer.status), answer.pairs())
-            self._send_part(answer.body)
-        except OSError:
-            pass
-
-
-def _check_length(request, limits):
-    if request.length is not None and request.length > limits.max_body_bytes:
-        raise TooLarge(f'a body of {request.length} bytes')
-
-
-def send_all(sock, data):
-    """Send bytes, with one plain call where they fit at once."""
-    sent = sock.send(data)
-    if sent < len(data):
-        sock.sendall(memoryview(data)[sent:])
-
-
-def status_line(status):
-    """Return a status with its usual phrase."""
-    return _STATUS_LINES.get(status) or f'{status} Status'
-
-
-_STATUS_LINES = {
-    int(code): f'{int(code)} {text}' for code, text in responses.items()
-}
-
-
 class Listener(WSGIServer):
     """
     Accepts callers on one address and runs a WSGI application.
@@ -386,7 +50,7 @@
             application,
             log=None,
             error_log=None,
-            handler_class=_Handler,
+            handler_class=CallerConnection,
             backlog=1024,
         )
         self.limits = limits
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -19,9 +19,9 @@
 from damasklanding.node.bodies import body_from_request
 from damasklanding.node.calls import Allowance
 from damasklanding.node.calls import Call
+from damasklanding.node.connections import status_line
 from damasklanding.node.entry import OVERLOAD_CODES
 from damasklanding.node.hangup import always
-from damasklanding.node.http import status_line
 from damasklanding.node.view import key_digest
 from damasklanding.policy.split import choose_part
 
--- a/damasklanding/settings.py
+++ b/damasklanding/settings.py
@@ -78,11 +78,6 @@
     def __repr__(self):
         return f'Settings(name={self.name!r}, roles={self.roles!r})'
 
-    @property
-    def serves_platform(self):
-        """Return whether callers and operators speak the platform's way."""
-        return self.interface == 'platform'
-
 
 _REQUIRED = {
     'own': ('name', 'data_centre', 'peer_address', 'control_hosts'),
--- /dev/null
+++ b/tests/test_ingress.py
@@ -0,0 +1,134 @@
+from contextlib import contextmanager
+from types import SimpleNamespace
+
+from nodes import FreeHoldings
+import pytest
+
+from damasklanding.errors import Overloaded
+from damasklanding.errors import UpstreamFailed
+from damasklanding.fleet.resources import HostRoute
+from damasklanding.fleet.resources import Organisation
+from damasklanding.fleet.resources import Part
+from damasklanding.fleet.resources import Profile
+from damasklanding.metrics import Metrics
+from damasklanding.node.answers import NOT_RUN
+from damasklanding.node.answers import RAN
+from damasklanding.node.answers import Answer
+from damasklanding.node.calls import CallTable
+from damasklanding.node.heads import parse_head
+from damasklanding.node.ingress import Ingress
+from damasklanding.platform.requests import CALLER_DIALECT
+
+HEAD = (
+    b'GET /desk/1 HTTP/1.1\r\nHost: h.example\r\n'
+    b'Damasklanding-Attempt-Id: 1\r\nAuthorization: Token k'
+)
+
+
+class View:
+    now_ms = staticmethod(lambda: 1_000.0)
+    state = SimpleNamespace(
+        get=lambda kind, name: Profile(name=name, retries=1)
+    )
+
+    def configuration(self):
+        return SimpleNamespace(keyed=True, version=1)
+
+    def host_route(self, host, path):
+        return HostRoute(
+            name='r', host=host, prefix='/desk/', profile='p',
+            parts=(Part('desk'),),
+        )  # fmt: skip
+
+    def require_fresh(self, limit_ms):
+        return None
+
+    def organisation_of(self, digest):
+        return Organisation(name='acme', rate_per_s=1.0, burst_requests=1)
+
+
+class Quiet:
+    """A hangup that never comes, and a pressure that refuses nothing."""
+
+    def watch(self, body, unwanted):
+        return None
+
+    def stop(self):
+        return None
+
+    def check(self, service, profile, importance):
+        return None
+
+    def note(self, service, profile, importance, overloaded):
+        return None
+
+
+@contextmanager
+def served(forward, pressure=None):
+    """Run one request; yields the holdings and the answer's status."""
+    holdings = FreeHoldings()
+    statuses = []
+    ingress = Ingress(
+        SimpleNamespace(
+            fresh_limit_ms=1, max_body_bytes=1, backend_service='plan'
+        ),
+        View(),
+        CALLER_DIALECT,
+        SimpleNamespace(forward=forward),
+        holdings,
+        pressure or Quiet(),
+        CallTable(),
+        lambda service: None,
+        Metrics(),
+        SimpleNamespace(random=lambda: 0.5),
+    )
+    request = parse_head(HEAD)
+    request.hangup = Quiet()
+    ingress.application(
+        {'damasklanding.request': request},
+        lambda status, headers: statuses.append(status[:3]),
+    )
+    yield holdings, statuses[0]
+
+
+def raising(error, outcome):
+    error.outcome = outcome
+
+    def forward(call):
+        call.handed = outcome != NOT_RUN
+        raise error
+
+    return forward
+
+
+def answering(status, outcome):
+    return lambda call: Answer(status, [], outcome=outcome)
+
+
+@pytest.mark.parametrize(
+    ('forward', 'status', 'returned'),
+    [
+        (answering(200, RAN), '200', 0),
+        (answering(500, RAN), '500', 0),
+        (answering(503, NOT_RUN), '503', 1),
+        (raising(Overloaded('full'), NOT_RUN), '503', 1),
+        (raising(UpstreamFailed('cut'), 'unknown'), '502', 0),
+    ],
+)
+def test_token_goes_back_exactly_where_the_request_has_not_run(
+    forward, status, returned
+):
+    with served(forward) as (holdings, seen):
+        assert seen == status
+        assert holdings.returned == returned
+
+
+def test_token_goes_back_where_the_chain_is_shed_at_the_entry():
+    pressure = Quiet()
+
+    def check(service, profile, importance):
+        raise Overloaded('shed', retry_after_ms=100)
+
+    pressure.check = check
+    with served(answering(200, RAN), pressure) as (holdings, seen):
+        assert (seen, holdings.returned) == ('503', 1)
