--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -52,7 +52,9 @@
 CONNECT_TIMEOUT_MS = 1_000
 HANDSHAKE_TIMEOUT_MS = 2_000
 TICK_MS = 200
-HEARTBEAT_MS = 500  # of a link in use; carries the load reports
+#: Of a link in use; carries the load reports, which count for 2 s.  Where an
+#: answer is awaited, a silent link is asked at the next tick.
+HEARTBEAT_MS = 1_000
 IDLE_HEARTBEAT_MS = 2_000
 IN_USE_MS = 5_000  # after its last exchange began
 UNUSED_LIMIT_MS = 60_000  # after which its opener closes it
