--- a/damasklanding/clock.py
+++ b/damasklanding/clock.py
@@ -7,6 +7,8 @@
 """
 
 import time
+from time import CLOCK_BOOTTIME
+from time import clock_gettime
 
 __all__ = ['monotonic_ms', 'wall_ms']
 
@@ -18,7 +20,7 @@
     It also counts the time during which the host was suspended, so that
     proofs of freshness and leases age meanwhile.
     """
-    return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+    return clock_gettime(CLOCK_BOOTTIME) * 1000.0
 
 
 def wall_ms():
--- a/damasklanding/platform/requests.py
+++ b/damasklanding/platform/requests.py
@@ -33,6 +33,7 @@
 )
 #: Of one connection only; ``host`` and ``date`` are passed on.
 _HOP_BY_HOP = (HOP_BY_HOP | {'connection'}) - {'host', 'date'}
+_NOT_FORWARDED = _HOP_BY_HOP | _REPLACED
 
 #: Statuses that promise the caller that a request has not run.
 _PROMISES = frozenset((408, 421, 429, 503))
@@ -53,22 +54,22 @@
 _encode = msgspec.json.Encoder().encode
 
 
-def _nominated(headers):
-    for index in range(0, len(headers), 2):
-        if headers[index] == 'connection':
-            names = headers[index + 1].lower().split(',')
-            return frozenset(name.strip() for name in names)
-    return frozenset()
-
+def _passed_on(headers, named, left_out):
+    """
+    Return the headers that go further than one connection.
 
-def _passed_on(headers, left_out):
-    nominated = _nominated(headers)
+    :param headers: names in lower case and values, alternating.
+    :param named: the same by name.
+    """
+    connection = named.get('connection')
+    if connection is not None:
+        names = connection.lower().split(',')
+        left_out = left_out.union(name.strip() for name in names)
     passed = []
     for index in range(0, len(headers), 2):
         name = headers[index]
-        if name in left_out or name in nominated:
-            continue
-        passed += (name, headers[index + 1])
+        if name not in left_out:
+            passed += (name, headers[index + 1])
     return passed
 
 
@@ -89,7 +90,7 @@
 
 
 def _forwarded(request, organisation, calling_service):
-    headers = _passed_on(request.headers, _HOP_BY_HOP | _REPLACED)
+    headers = _passed_on(request.headers, request.named, _NOT_FORWARDED)
     if calling_service:
         headers += (CALLING_SERVICE, calling_service)
     if organisation:
@@ -137,7 +138,7 @@
 
 
 def _reply_headers(reply):
-    return _passed_on(reply.flat_headers, _HOP_BY_HOP)
+    return _passed_on(reply.flat_headers, reply.named, _HOP_BY_HOP)
 
 
 def _judge(answer, reply, _call):
--- a/damasklanding/policy/split.py
+++ b/damasklanding/policy/split.py
@@ -16,6 +16,8 @@
         get the same where no weight is above 0.
     :param point: number in [0, 1), drawn anew for each request.
     """
+    if len(parts) == 1:
+        return parts[0]
     whole = sum(part.weight for part in parts)
     if whole <= 0:
         return parts[int(point * len(parts))]
