Take an answer that has come, also after the deadline

Cause: after the wait for an answer its bytes were read only while time was left, so that one that came with the deadline was dropped and answered 504. Ruled out: waiting longer; only what has come is read. Test first: test_answer_that_has_come_is_taken_after_the_deadline.

--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -41,6 +41,7 @@
 MAX_IDLE_MS = 10_000
 MAX_IDLE_CONNECTIONS = 256
 MIN_PATIENCE_MS = 300
+HELD_READ_MS = 50  # to read from a connection that is known to be readable
 PATIENCE_FACTOR = 5
 SMOOTHING = 0.1
 RESEND_RATIO = 0.02
@@ -257,7 +258,8 @@
             raise _broken(error) from error
 
     def _read_answer(self, connection, call):
-        connection.sock.settimeout(self._left_s(call))
+        # An answer that has come is taken, also after the deadline.
+        connection.sock.settimeout(HELD_READ_MS / 1000)
         if _is_whole(connection.reader.peek(1)):
             # Nothing is left to wait for, so no timer is needed.
             reply = self._next_reply(connection, call)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -14,6 +14,7 @@
 from damasklanding.node.calls import Call
 from damasklanding.node.upstream import TRUST_IDLE_MS
 from damasklanding.node.upstream import Upstream
+from damasklanding.platform.requests import BACKEND_DIALECT
 
 OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
 
@@ -314,3 +315,29 @@
     upstream.call(a_call(), 't')
     assert upstream.call(a_call(), 't').body == b'ok'
     assert len(requests) == 2
+
+
+def test_answer_that_has_come_is_taken_after_the_deadline(monkeypatch):
+    upstream = Upstream(answering(OK).address)
+    call = a_call()
+    await_answer = upstream._await_answer
+
+    def late(*arguments):
+        await_answer(*arguments)
+        call.deadline_at_ms = monotonic_ms() - 1
+
+    monkeypatch.setattr(upstream, '_await_answer', late)
+    assert upstream.call(call, 't').body == b'ok'
+
+
+def test_answer_to_another_request_is_passed_over():
+    def named(name, body):
+        return (
+            b'HTTP/1.1 200 OK\r\ndamasklanding-attempt-id: %b\r\n'
+            b'damasklanding-server-signature: s\r\n'
+            b'content-length: 2\r\n\r\n%b' % (name, body)
+        )
+
+    backend = answering(named(b'old', b'no') + named(b'r', b'ok'))
+    upstream = Upstream(backend.address, dialect=BACKEND_DIALECT)
+    assert upstream.call(a_call(), 't').body == b'ok'
