Let an answer in pieces pause within its deadline

Cause: reads what has come with a socket timeout of 50 ms, which stayed in force for the rest of an answer that had come only in part; a pause of 50 ms ended it as a timeout. Test first: test_answer_in_pieces_may_pause_within_the_deadline failed. Ruled out: the same in streams, which set their own timeout.

--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -266,6 +266,7 @@
             if self._dialect.belongs(reply, call):
                 return self._answer(connection, call, reply)
             reply.read()
+        connection.sock.settimeout(None)
         with gevent.Timeout(self._left_s(call), TimeoutError):
             reply = self._own_reply(connection, call)
             return self._answer(connection, call, reply)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -341,3 +341,15 @@
     backend = answering(named(b'old', b'no') + named(b'r', b'ok'))
     upstream = Upstream(backend.address, dialect=BACKEND_DIALECT)
     assert upstream.call(a_call(), 't').body == b'ok'
+
+
+def test_answer_in_pieces_may_pause_within_the_deadline():
+    def serve(sock):
+        sock.recv(65_536)
+        sock.sendall(OK[:20])
+        gevent.sleep(0.15)
+        sock.sendall(OK[20:-1])
+        gevent.sleep(0.15)
+        sock.sendall(OK[-1:])
+
+    assert Upstream(Raw(serve).address).call(a_call(), 't').body == b'ok'
