Let no host without power hold up a node that looks for a source

A silent source was left after 1.5 s and each host without power cost a connection timeout of 1 s. Ruled out: the heartbeat of links, which is the same where an answer is awaited; a late acknowledgement. Now: three heartbeats, 350 ms to open, sources that failed lately come last. Both tests fail before.

--- a/damasklanding/node/watch.py
+++ b/damasklanding/node/watch.py
@@ -23,7 +23,13 @@
 __all__ = ['WatchClient']
 
 BEAT_MS = 300
-REPLY_LIMIT_MS = 1_500  # a source that answers no beat for longer is left
+#: Three heartbeats; a source that answers none for longer is left.  With two
+#: more that are lost as well this leaves time within the 2 s in which a
+#: change is to be in force.
+REPLY_LIMIT_MS = 900
+#: A host on the way answers a connection within milliseconds.
+OPEN_LIMIT_MS = 350
+SHUNNED_MS = 3_000  # a source that failed is tried after the others
 STALE_SOURCE_MS = 1_500  # a source whose proof is older is left
 RELAY_TURN_MS = 3_000  # a relay is left for a control host after this
 RETRY_MS = 100
@@ -66,6 +72,7 @@
         self._greenlet = None
         self._seq = 0
         self._sent_ms = {}
+        self._failed_ms = {}
         self.source = ''
 
     def start(self):
@@ -110,23 +117,44 @@
         ]
         # In another order each time, so that the nodes spread.
         self._random.shuffle(control)
-        return control + relays[:3]
+        return sorted(control + relays[:3], key=self._is_shunned)
+
+    def _is_shunned(self, address):
+        failed_ms = self._failed_ms.get(address, float('-inf'))
+        return self._view.now_ms() - failed_ms < SHUNNED_MS
 
     def _run(self):
         while True:
             for address in self.sources():
-                try:
-                    self._follow(address)
-                except DamasklandingError:
-                    self._exchange = None
-                    self.source = ''
-                gevent.sleep(RETRY_MS / 1000 * self._random.uniform(0.5, 1))
+                if self._try(address):
+                    # Others may have joined or failed meanwhile.
+                    break
+
+    def _try(self, address):
+        """Follow a source while it serves; return whether it ever did."""
+        self.source = ''
+        try:
+            self._follow(address)
+        except DamasklandingError:
+            self._exchange = None
+        followed = bool(self.source)
+        self.source = ''
+        self._failed_ms = {
+            known: failed_ms
+            for known, failed_ms in self._failed_ms.items()
+            if self._is_shunned(known)
+        }
+        self._failed_ms[address] = self._view.now_ms()
+        gevent.sleep(RETRY_MS / 1000 * self._random.uniform(0.5, 1))
+        return followed
 
     def _is_control(self, link):
         return link.peer.role == 'control'
 
     def _follow(self, address):
-        link = self._pool.get(address)
+        lost = LinkTimeout(f'{address} opened no link in time')
+        with gevent.Timeout(OPEN_LIMIT_MS / 1000, lost):
+            link = self._pool.get(address)
         state = self._view.state
         message = Watch(
             self._identity.name,
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -206,3 +206,58 @@
     assert list(view.state.all('backend')) == ['node-a']
     client.stop()
     source.server.stop()
+
+
+class SlowPool:
+    """Opens links, but hangs for addresses of hosts without power."""
+
+    def __init__(self, *dark):
+        self.dark = dark
+        self.tried = []
+        self._pool = LinkPool(NODE, SECRET)
+
+    def get(self, address):
+        self.tried.append(address)
+        if address in self.dark:
+            gevent.sleep(30)
+        return self._pool.get(address)
+
+
+def test_hosts_without_power_hold_no_node_up():
+    source = Source()
+    source.view.apply(1, 5, [put_centre('dc-a')])
+    source.fresh()
+    pool = SlowPool('dark-1', 'dark-2')
+    addresses = ['dark-1', 'dark-2', source.address]
+    view = FleetView()
+    client = WatchClient(
+        view,
+        pool,
+        NODE,
+        lambda: [(address, address) for address in addresses],
+        # Puts the dark hosts first.
+        type('Order', (), {'shuffle': None, 'uniform': None})(),
+    )
+    client._random.shuffle = lambda items: items.sort(
+        key=lambda address: address == source.address
+    )
+    client._random.uniform = lambda low, high: low
+    client.start()
+    wait_for(lambda: view.state.position() == (1, 5), 10)
+    client.stop()
+
+
+def test_source_that_failed_is_tried_after_the_others():
+    clock = [0.0]
+    client = WatchClient(
+        FleetView(lambda: clock[0]),
+        SlowPool(),
+        NODE,
+        lambda: [('a', 'a'), ('b', 'b'), ('c', 'c')],
+        random.Random(1),
+    )
+    client._failed_ms['b'] = 0.0
+    for _ in range(20):
+        assert client.sources()[-1] == 'b'
+    clock[0] = 10_000.0
+    assert any(client.sources()[-1] != 'b' for _ in range(20))
