Say in a refusal what decided it: counts, owner, limit

The hypotheses of the incident cannot be told apart from the lines that a node writes: a refusal at the entry does not say how many requests were answered, one for a budget does not say who the owner is and what it said, and one for lack of a slot does not say whether the backend server has announced itself. Each now does. No decision changes.

--- a/damasklanding/budget/rate_limiter.py
+++ b/damasklanding/budget/rate_limiter.py
@@ -256,6 +256,7 @@
             grant = self._request_grant(cache, wanted, waiting, sent_ms)
         except DamasklandingError as error:
             self._metrics.add('grants_total', error.code)
+            cache.owner_problem = error.problem
             self._admit_from_local_share(cache, error)
             retry_at_ms = self._now_ms() + OWNER_RETRY_MS
             for waiter in cache.remove_uncovered(
@@ -317,6 +318,7 @@
     def _store_grant(self, cache, grant, sent_ms):
         cache.ttl_ms = grant.ttl_ms
         cache.scarce = grant.scarce
+        cache.owner_problem = ''
         received = ReceivedGrant(grant.epoch, grant.serial, grant.ttl_ms)
         if grant.tokens:
             cache.batches.append(TokenBatch(received, grant.tokens, sent_ms))
@@ -365,8 +367,12 @@
         due_ms = cache.next_token_ms - self._now_ms()
         if due_ms > 0 or cache.reserved:
             return self._over_rate_error(cache, organisation)
+        shard = self._view.state.get('budget_shard', cache.shard_name)
+        owner = shard.owner if shard is not None else ''
+        problem = cache.owner_problem or 'no answer yet'
         return Unavailable(
-            f'the budget of {cache.name} was not reached in time',
+            f'the budget of {cache.name} was not reached in time '
+            f'(owner {owner or "unknown"}: {problem})',
             retry_after_ms=OWNER_RETRY_MS,
         )
 
--- a/damasklanding/budget/token_cache.py
+++ b/damasklanding/budget/token_cache.py
@@ -113,6 +113,8 @@
     :ivar fallback_until_ms: time until which requests are admitted from the
         node's local share, since the owner did not issue tokens.
     :ivar share_ratio: part of the local share that may be used until then.
+    :ivar owner_problem: why the owner issued nothing at the last attempt,
+        empty if it answered.
     :ivar request_count: requests in the current window of the demand.
     :ivar low_watermark: number of tokens at or below which more are
         requested.
@@ -130,6 +132,7 @@
         'next_token_ms',
         'fallback_until_ms',
         'share_ratio',
+        'owner_problem',
         'request_count',
         'low_watermark',
         'ttl_ms',
@@ -150,6 +153,7 @@
         self.next_token_ms = 0.0
         self.fallback_until_ms = 0.0
         self.share_ratio = 0.0
+        self.owner_problem = ''
         self.request_count = 0
         self.low_watermark = 0
         self.ttl_ms = 0
--- a/damasklanding/decisions.py
+++ b/damasklanding/decisions.py
@@ -36,6 +36,8 @@
     :ivar view_age_ms: age of the proof that the configuration is current.
     :ivar running: calls in progress at the backend server.
     :ivar queued: calls that waited there.
+    :ivar limit: concurrency limit of the backend server.
+    :ivar cold: whether it was treated as cold.
     """
 
     event: str
@@ -53,6 +55,8 @@
     view_age_ms: int = 0
     running: int = 0
     queued: int = 0
+    limit: int = 0
+    cold: bool = False
     detail: str = ''
 
 
--- a/damasklanding/node/local_backend.py
+++ b/damasklanding/node/local_backend.py
@@ -196,6 +196,8 @@
             left_ms=int(call.deadline_at_ms - self._now_ms()),
             running=load.running,
             queued=load.queued,
+            limit=load.limit,
+            cold=load.cold,
             detail=error.problem,
         )
 
--- a/damasklanding/policy/throttle.py
+++ b/damasklanding/policy/throttle.py
@@ -159,7 +159,8 @@
         if self._random() < _refused_ratio(route, self._settings):
             route.events += 1.0
             raise Overloaded(
-                f'requests like this one to {service} are shed further down',
+                f'requests like this one to {service} are shed further down '
+                f'({route.accepts:.0f} of {route.events:.0f} answered)',
                 retry_after_ms=RETRY_AFTER_MS,
             )
 
--- a/tests/test_rate_limiter.py
+++ b/tests/test_rate_limiter.py
@@ -223,6 +223,14 @@
     assert not isinstance(error, OverRate)
 
 
+def test_refusal_names_the_owner_and_why_it_issued_nothing(build):
+    fleet = build()
+    owner, node = fleet.nodes[:2]
+    fleet.cut.add((node.address, owner.address))
+    error = fleet.error(node, wait_ms=400)
+    assert 'was not reached in time (owner node-0: ' in error.problem
+
+
 def test_lost_reply_costs_its_tokens_only(build):
     fleet = build()
     fleet.delays.extend([1.0, None])
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -73,6 +73,13 @@
     assert 300 <= passed <= 1.05 * bound
 
 
+def test_refusal_names_the_counts_that_decided_it(throttle, clock):
+    run(throttle, clock, 3, 100, lambda index: False)
+    with pytest.raises(Overloaded, match=r'\(0 of \d+ answered\)'):
+        while True:
+            throttle.check('balance', 'p', 1)
+
+
 def test_importance_has_accounts_of_its_own(throttle, clock):
     run(throttle, clock, 3, 100, lambda index: False)
     assert throttle.refused_ratio('balance', 'p', 1) > 0.5
