End answers of a backend server in trouble that never end

Seen by callers, had it come: with a flood of interim responses (1xx), or an endless chunked answer to another request, the node stops serving anybody. It reads bytes that are always there and never returns to the event loop, so that not even the call's deadline ends it. A body without end was passed on as long as bytes were ready, whatever the deadline; other endless bytes kept a slot and a core busy until the deadline.

Cause: reads bounded by time alone. A timeout is an event of the loop, and a reader that never blocks gives the loop no turn.

Evidence: a server in a thread of its own that repeats bytes until the caller closes.

Why this works: each read is bounded in bytes as well (interim heads, lines of chunks, trailers, bodies of stray answers), and a stream gives the loop a turn after each part and ends 400 ms after the deadline. Within half a second of it a caller is to have its final answer.

--- a/damasklanding/node/reply.py
+++ b/damasklanding/node/reply.py
@@ -15,6 +15,8 @@
 __all__ = ['Reply', 'ReplyMalformed']
 
 MAX_HEAD_BYTES = 64 * 1024
+MAX_INTERIM_HEADS = 8  # 1xx responses before the final one
+MAX_CHUNK_LINE_BYTES = 1_024
 
 _STATUS_LINE = re.compile(r'HTTP/1\.([01]) ([1-5][0-9][0-9])(?: .*)?')
 _HEADERS = re.compile(
@@ -72,13 +74,15 @@
         :raises ReplyMalformed: the head is incomplete or malformed, or the
             framing of the body is ambiguous.
         """
-        while True:
+        for _ in range(MAX_INTERIM_HEADS + 1):
             line, _, rest = self._read_head().partition('\r\n')
             matched = _STATUS_LINE.fullmatch(line)
             if matched is None:
                 raise ReplyMalformed('the status line is malformed')
             if not matched[2].startswith('1'):
                 break
+        else:
+            raise ReplyMalformed('too many interim responses came')
         self.version = 10 + int(matched[1])
         self.status = self.code = int(matched[2])
         self._read_headers(rest)
@@ -144,12 +148,22 @@
             raise ReplyMalformed('the body has no length')
 
     def _read_next_chunk_size(self):
-        line = self.fp.readline(MAX_HEAD_BYTES)
+        line = self.fp.readline(MAX_CHUNK_LINE_BYTES)
         matched = _CHUNK_SIZE(line)
         if matched is None:
             raise ReplyMalformed('a chunk size is malformed')
         return int(matched[1], 16)
 
+    def _read_and_discard_trailer(self):
+        """Skip the trailer; the parent's method reads one of any length."""
+        size = 0
+        while size <= MAX_HEAD_BYTES:
+            line = self.fp.readline(MAX_HEAD_BYTES)
+            if line in (b'\r\n', b'\n', b''):
+                return
+            size += len(line)
+        raise ReplyMalformed('the trailer is too long')
+
     def _close_conn(self):
         """Detach the reader, which the next response will use."""
         self.fp = None
--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -49,6 +49,9 @@
 RESEND_RATIO = 0.02
 RESEND_RESERVE = 10
 MOST_STRAY_ANSWERS = 4  # to earlier requests, before a connection is left
+MAX_STRAY_BYTES = 1024 * 1024  # of their bodies, before a connection is left
+#: A body that has begun may go on for this long after the deadline.
+LATE_BODY_MS = 400
 
 
 _LENGTH = re.compile(
@@ -282,12 +285,15 @@
 
     def _own_reply(self, connection, call):
         """Return the reply to a call; ones to earlier calls are dropped."""
+        skipped_bytes = 0
         for _ in range(MOST_STRAY_ANSWERS):
             reply = self._next_reply(connection, call)
             if self._dialect.matches_call(reply, call):
                 return reply
-            while reply.read(CHUNK_BYTES):
-                pass
+            while part := reply.read(CHUNK_BYTES):
+                skipped_bytes += len(part)
+                if skipped_bytes > MAX_STRAY_BYTES:
+                    raise _broken('an answer to another request did not end')
         raise _broken('only answers to other requests came')
 
     def _await_answer(self, connection, call, sent_ms, may_repeat):
@@ -390,11 +396,15 @@
                 yield first
             while True:
                 left_ms = call.deadline_at_ms - self._now_ms()
+                if left_ms < -LATE_BODY_MS:
+                    raise TimeoutError
                 connection.sock.settimeout(max(left_ms, 1) / 1000)
                 part = reply.read(CHUNK_BYTES)
                 if not part:
                     break
                 yield part
+                # Neither side may have blocked, and other greenlets wait.
+                gevent.sleep(0)
             if reply.length:
                 raise _broken('the body was cut short')
         except TimeoutError as error:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -1,4 +1,8 @@
+from contextlib import contextmanager
+from contextlib import suppress
 from dataclasses import replace
+import socket
+from threading import Thread
 
 import gevent
 from nodes import SocketBackend
@@ -50,6 +54,49 @@
     return SocketBackend(serve)
 
 
+@contextmanager
+def flooding(start, repeated):
+    """Run a backend server that repeats bytes until the caller closes."""
+
+    def serve():
+        with suppress(OSError):
+            while True:
+                sock = listener.accept()[0]
+                with sock, suppress(OSError):
+                    sock.recv(65_536)
+                    sock.sendall(start)
+                    while True:
+                        sock.sendall(repeated * (65_536 // len(repeated)))
+
+    with socket.create_server(('127.0.0.1', 0)) as listener:
+        thread = Thread(target=serve, daemon=True)
+        thread.start()
+        yield '127.0.0.1:%d' % listener.getsockname()[1]
+        listener.shutdown(socket.SHUT_RDWR)
+    thread.join(5)
+    assert not thread.is_alive()  # every connection was closed
+
+
+@contextmanager
+def measured_pauses_ms():
+    """Yield the list of the event loop's pauses between its turns."""
+    pauses_ms = []
+
+    def measure():
+        while True:
+            began_ms = monotonic_ms()
+            gevent.sleep(0.001)
+            pauses_ms.append(monotonic_ms() - began_ms)
+
+    greenlet = gevent.spawn(measure)
+    gevent.sleep(0)
+    try:
+        yield pauses_ms
+    finally:
+        gevent.sleep(0.002)
+        greenlet.kill()
+
+
 def test_connection_is_used_again_after_a_whole_answer():
     backend = answering(OK, OK)
     upstream = Upstream(backend.address)
@@ -356,3 +403,62 @@
         Upstream(SocketBackend(serve).address).call(a_call(), 't').body
         == b'ok'
     )
+
+
+STRAY_HEAD = (
+    b'HTTP/1.1 200 OK\r\ndamasklanding-attempt-id: old\r\n'
+    b'damasklanding-server-signature: s\r\n'
+)
+OWN_HEAD = STRAY_HEAD.replace(b'old', b'r')
+CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('start', 'repeated'),
+    [
+        (b'', b'?'),
+        (b'', b'no answer\r\n'),
+        (b'HTTP/1.1 200 OK\r\nx: ', b'y'),
+        (b'HTTP/1.1 200 OK\r\n', b'x: y\r\n'),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        (STRAY_HEAD + b'\r\n', b'?'),
+        (STRAY_HEAD + b'content-length: 900000000000\r\n\r\n', b'?'),
+        (STRAY_HEAD + CHUNKED, b'4\r\nabcd\r\n'),
+        (OWN_HEAD + CHUNKED, b'4;' + b'x' * 30_000 + b'\r\nabcd\r\n'),
+        (OWN_HEAD + CHUNKED + b'0\r\n', b'x: y\r\n'),
+    ],
+)
+def test_endless_bytes_that_are_no_answer_end_the_call_at_once(
+    start, repeated
+):
+    with flooding(start, repeated) as address, measured_pauses_ms() as pauses:
+        upstream = Upstream(address, dialect=BACKEND_DIALECT)
+        began_ms = monotonic_ms()
+        with pytest.raises(UpstreamFailed):
+            upstream.call(a_call(method='POST', idempotent=False), 't')
+        assert monotonic_ms() - began_ms < 2_000
+    assert max(pauses) < 500
+
+
+@pytest.mark.parametrize('pause_ms', [0, 5])
+@pytest.mark.parametrize(
+    'framing', [b'\r\n', b'content-length: 900000000000\r\n\r\n']
+)
+def test_endless_body_ends_soon_after_the_deadline_and_blocks_nothing(
+    framing, pause_ms
+):
+    # A client has its answer within 500 ms of the end of its time.
+    with (
+        flooding(OWN_HEAD + framing, b'?') as address,
+        measured_pauses_ms() as pauses,
+    ):
+        upstream = Upstream(address, dialect=BACKEND_DIALECT)
+        began_ms = monotonic_ms()
+        answer = upstream.call(a_call(timeout_ms=300), 't')
+        with pytest.raises(UpstreamTimeout):
+            for _ in answer.parts:
+                assert monotonic_ms() - began_ms < 2_000
+                if pause_ms:
+                    gevent.sleep(pause_ms / 1000)
+        assert monotonic_ms() - began_ms < 300 + 500 + 200
+    assert max(pauses) < 500
