Let a node learn backend servers that a source left out

Cause: a revision says which changes a node has seen, not which backend servers it holds, but a new source was told the revision alone. Four ways lead to a gap that nothing closes until each server changes again: - a service was asked for, and the source was left before it answered; the next one at the same revision sends nothing; - the answer was older than the view: dropped, but counted as known; - a relay answered for a service that it does not follow, with an empty list, which counted as known; - a relay passed on the removals that its own source had sent it in place of changes of services that it does not follow. All need a change of source, and after a return every node changes it: no control host has a proof before the election, so each was put last for 3 s, after the relays. The class: a partial copy served as if it were complete.

Evidence: one test for each way and one for the order of sources; all five failed on the code before. Ruled out: a lost configuration (the node held the current one, confirmed 430 ms ago), backend servers that drain (other nodes called them).

What a relay sends only adds backend servers, and the next control host sends everything. A host without a proof is tried again before any relay. Changes of source get a line in the log.

--- a/damasklanding/node/watch.py
+++ b/damasklanding/node/watch.py
@@ -3,16 +3,24 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~
 
 Keeps a node's view current.  One greenlet follows one source at a time: a
-control host or, while none answers, another node.
+control host or, while none answers, another node that relays what it follows.
+
+A relay knows only the backend servers of the services that it follows itself.
+What it says about backend servers is added to the view, but nothing is removed
+from it, and the next control host sends a snapshot of everything.
 """
 
+from functools import partial
+
 import gevent
 from gevent.event import Event
 
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import LinkClosed
 from damasklanding.errors import LinkTimeout
+from damasklanding.fleet.resources import Change
 from damasklanding.fleet.resources import decode_changes
+from damasklanding.logs import StateLog
 from damasklanding.messages import NEVER_CONFIRMED_AGE_MS
 from damasklanding.messages import Beat
 from damasklanding.messages import BeatReply
@@ -32,10 +40,16 @@
 SHUNNED_MS = 3_000  # a source that failed is tried after the others
 STALE_SOURCE_MS = 1_500  # a source whose proof is older is left
 RELAY_TURN_MS = 3_000  # a relay is left for a control host after this
+#: The same while backend servers of a service that was asked for are unknown.
+INCOMPLETE_RELAY_TURN_MS = 500
 RETRY_MS = 100
 WANT_TIMEOUT_MS = 1_000
 
 
+class _StaleSource(LinkTimeout):
+    """A source answers, but has no recent proof that it is current."""
+
+
 class WatchClient:
     """
     Follows the configuration and proves it fresh.
@@ -73,6 +87,8 @@
         self._seq = 0
         self._sent_ms = {}
         self._failed_ms = {}
+        self._needs_snapshot = False
+        self._log = StateLog()
         self.source = ''
 
     def start(self):
@@ -117,7 +133,7 @@
         ]
         # In another order each time, so that the nodes spread.
         self._random.shuffle(control)
-        return sorted(control + relays[:3], key=self._is_shunned)
+        return sorted(control, key=self._is_shunned) + relays[:3]
 
     def _is_shunned(self, address):
         failed_ms = self._failed_ms.get(address, float('-inf'))
@@ -135,53 +151,70 @@
         self.source = ''
         try:
             self._follow(address)
-        except DamasklandingError:
+        except _StaleSource:
+            # It has power and becomes current with the next election.
+            self._exchange = None
+        except DamasklandingError as error:
             self._exchange = None
+            self._shun(address)
+            self._log.note('configuration', 'not followed', error.problem)
         followed = bool(self.source)
         self.source = ''
+        gevent.sleep(RETRY_MS / 1000 * self._random.uniform(0.5, 1))
+        return followed
+
+    def _shun(self, address):
         self._failed_ms = {
             known: failed_ms
             for known, failed_ms in self._failed_ms.items()
             if self._is_shunned(known)
         }
         self._failed_ms[address] = self._view.now_ms()
-        gevent.sleep(RETRY_MS / 1000 * self._random.uniform(0.5, 1))
-        return followed
 
-    def _is_control(self, link):
-        return link.peer.role == 'control'
+    def _unknown_services(self):
+        """Return the services for which no control host has answered."""
+        return [
+            service
+            for service, known in self._services.items()
+            if not known.is_set()
+        ]
 
     def _follow(self, address):
         lost = LinkTimeout(f'{address} opened no link in time')
         with gevent.Timeout(OPEN_LIMIT_MS / 1000, lost):
             link = self._pool.get(address)
         state = self._view.state
+        is_control = link.peer.role == 'control'
+        services = list(self._services)
         message = Watch(
             self._identity.name,
             self._identity.instance,
             state.term,
-            state.revision,
-            list(self._services),
+            0 if is_control and self._needs_snapshot else state.revision,
+            services,
             self._all_services,
         )
         self._sent_ms.clear()
         with link.exchange(message) as exchange:
             self._exchange = exchange
             self.source = link.peer.name
-            self._follow_exchange(exchange, self._is_control(link))
+            take = partial(self._take, services)
+            if not is_control:
+                take = self._add_relayed
+            self._follow_exchange(exchange, take, is_control)
 
-    def _follow_exchange(self, exchange, is_control):
+    def _follow_exchange(self, exchange, take, is_control):
         now_ms = self._view.now_ms
         started_ms = answered_ms = now_ms()
         due_ms = 0.0
         while True:
             now = now_ms()
             if now >= due_ms:
-                self._beat([])
+                self._beat(self._unknown_services())
                 due_ms = now + BEAT_MS
             if now - answered_ms > REPLY_LIMIT_MS:
                 raise LinkTimeout(f'{self.source} answers no heartbeat')
-            if not is_control and now - started_ms > RELAY_TURN_MS:
+            if not is_control and now - started_ms > self._relay_turn_ms():
                 raise LinkClosed('the turn of a relay is over')
             try:
                 message = exchange.receive(due_ms - now)
@@ -189,7 +222,16 @@
                 continue
             if type(message) is BeatReply:
                 answered_ms = now_ms()
-            self._take(message)
+                self._take_reply(message)
+                if is_control and self._needs_snapshot:
+                    raise _StaleSource(f'{self.source} sent no snapshot')
+            else:
+                take(message)
+
+    def _relay_turn_ms(self):
+        if self._unknown_services():
+            return INCOMPLETE_RELAY_TURN_MS
+        return RELAY_TURN_MS
 
     def _beat(self, services):
         exchange = self._exchange
@@ -209,28 +251,61 @@
         except LinkClosed:
             exchange.deliver(None)
 
-    def _take(self, message):
-        kind = type(message)
-        if kind is BeatReply:
-            self._take_reply(message)
-        elif kind is WatchDelta:
+    def _take(self, services, message):
+        """
+        Take what a control host sent.
+
+        :param services: those that the watch was begun with.
+        """
+        if type(message) is WatchSnapshot:
+            self._take_snapshot(services, message)
+        elif type(message) is WatchDelta:
             changes = decode_changes(message.changes)
             self._view.apply(message.term, message.revision, changes)
-        elif kind is WatchSnapshot:
-            self._take_snapshot(message)
 
-    def _take_snapshot(self, message):
+    def _take_snapshot(self, services, message):
+        state = self._view.state
+        if (message.term, message.revision) < state.position():
+            if not message.service:
+                raise _StaleSource(f'{self.source} is behind')
+            return  # the next heartbeat asks again
         changes = decode_changes(message.changes)
-        if not message.service:
+        if message.service:
+            self._view.merge(changes)
+            services = [message.service]
+        else:
             self._view.replace(message.term, message.revision, changes)
-            for known in self._services.values():
+            self._needs_snapshot = False
+        for service in services:
+            known = self._services.get(service)
+            if known is not None:
                 known.set()
+
+    def _add_relayed(self, message):
+        """Take what a relay sent, but remove no backend server."""
+        if type(message) not in (WatchDelta, WatchSnapshot):
             return
-        if message.revision >= self._view.state.revision:
-            self._view.merge(changes)
-        known = self._services.get(message.service)
-        if known is not None:
-            known.set()
+        self._needs_snapshot = True
+        view = self._view
+        changes = [
+            change
+            for change in decode_changes(message.changes)
+            if change.kind != 'backend' or change.resource() is not None
+        ]
+        position = message.term, message.revision
+        if type(message) is WatchDelta:
+            view.apply(*position, changes)
+        elif message.service:
+            if position >= view.state.position():
+                view.merge(changes)
+        else:
+            sent = {c.name for c in changes if c.kind == 'backend'}
+            changes += [
+                Change.put('backend', backend)
+                for name, backend in view.state.all('backend').items()
+                if name not in sent
+            ]
+            view.replace(*position, changes)
 
     def _take_reply(self, message):
         sent_ms = self._sent_ms.pop(message.seq, None)
@@ -242,4 +317,5 @@
         if proved and self._view.state.revision >= message.revision:
             self._view.confirm(sent_ms - message.age_ms)
         if message.age_ms > STALE_SOURCE_MS:
-            raise LinkTimeout(f'{self.source} has no fresh state')
+            raise _StaleSource(f'{self.source} has no fresh state')
+        self._log.note('configuration', f'follows {self.source}')
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -1,9 +1,11 @@
 import random
 
 import gevent
+import msgspec
 
 from damasklanding.control.watch import WatchServer
 from damasklanding.fleet.resources import Backend
+from damasklanding.fleet.resources import BudgetShard
 from damasklanding.fleet.resources import Change
 from damasklanding.fleet.resources import DataCentre
 from damasklanding.link import Identity
@@ -208,6 +210,103 @@
     source.server.stop()
 
 
+def names(view, service):
+    return sorted(item.name for item in view.backends(service))
+
+
+def test_service_that_the_last_source_did_not_answer_for_is_asked_again():
+    sources = [Source('host-a'), Source('host-b')]
+    for source in sources:
+        source.view.apply(1, 2, [Change.put('backend', backend('n1', 'desk'))])
+        source.fresh()
+        # The beat that asks for the service goes unanswered.
+        source.watch._add_service = lambda *_args: None
+    client, view = follow(*(source.address for source in sources))
+    wait_for(lambda: view.age_ms() < 5_000)
+    client.ensure_service('desk', timeout_ms=50)
+    used, other = sources if client.source == 'host-a' else sources[::-1]
+    del other.watch._add_service
+    used.server.stop()
+    wait_for(lambda: names(view, 'desk') == ['n1'])
+    client.stop()
+    other.server.stop()
+
+
+def test_service_snapshot_older_than_the_view_is_asked_for_again():
+    source = Source()
+    source.view.apply(1, 2, [Change.put('backend', backend('n1', 'desk'))])
+    view = FleetView()
+    view.apply(1, 3, [put_centre('dc-a')])
+    client, view = follow(source.address, view=view)
+    wait_for(lambda: client.source)
+    client.ensure_service('desk', timeout_ms=50)
+    source.view.apply(1, 3, [put_centre('dc-a')])
+    wait_for(lambda: names(view, 'desk') == ['n1'])
+    client.stop()
+    source.server.stop()
+
+
+def relay_of(source, *services):
+    """Return a node that relays what it follows, and its watch client."""
+    client, view = follow(source.address)
+    wait_for(lambda: view.age_ms() < 5_000)
+    for service in services:
+        client.ensure_service(service)
+    return Source('node-b', 'node', view), client
+
+
+def test_relay_that_does_not_follow_a_service_hides_none_of_its_servers():
+    source = Source()
+    source.view.apply(1, 2, [Change.put('backend', backend('n1', 'desk'))])
+    source.fresh()
+    relay, relay_client = relay_of(source)
+    client, view = follow(relay.address)
+    wait_for(lambda: client.source == 'node-b')
+    client.ensure_service('desk', timeout_ms=50)
+    client._control_hosts = lambda: [(source.address, source.address)]
+    wait_for(lambda: names(view, 'desk') == ['n1'])
+    for item in (client, relay_client):
+        item.stop()
+    source.server.stop()
+    relay.server.stop()
+
+
+def test_change_of_a_server_that_a_relay_does_not_follow_removes_nothing():
+    source = Source()
+    source.view.apply(1, 2, [Change.put('backend', backend('n1', 'desk'))])
+    source.fresh()
+    relay, relay_client = relay_of(source)
+    client, view = follow(source.address)
+    wait_for(lambda: view.age_ms() < 5_000)
+    client.ensure_service('desk')
+    client.stop()
+    moved = msgspec.structs.replace(backend('n1', 'desk'), instance='i2')
+    client, view = follow(relay.address, view=view)
+    wait_for(lambda: client.source == 'node-b')
+    client.ensure_service('desk', timeout_ms=50)
+    source.view.apply(1, 3, [Change.put('backend', moved)])
+    wait_for(lambda: view.state.revision == 3)
+    assert names(view, 'desk') == ['n1']
+    client._control_hosts = lambda: [(source.address, source.address)]
+    wait_for(lambda: view.backends('desk')[0].instance == 'i2')
+    for item in (client, relay_client):
+        item.stop()
+    source.server.stop()
+    relay.server.stop()
+
+
+def test_source_without_proof_is_tried_again_before_other_nodes():
+    source = Source()
+    source.view.apply(1, 2, [put_centre('dc-a')])
+    client, view = follow(source.address)
+    wait_for(lambda: len(source.beats) > 1)
+    shard = BudgetShard(name='s', owner='n1', peer_address='127.0.0.1:1')
+    view.merge([Change.put('budget_shard', shard)])
+    assert client.sources() == [source.address, '127.0.0.1:1']
+    client.stop()
+    source.server.stop()
+
+
 class SlowPool:
     """Opens links, but hangs for addresses of hosts without power."""
 
