Let an unchanged announcement end the pause after a refused connection

Seen by callers, had it come: a backend server that refuses one connection, as a full one or one that starts may, gets no request ever again, although it announces itself as ready every 1.5 s; its callers get 503 'no backend server of the service accepts calls' or the load falls on the others.

Cause: after a refused connection the node takes no new work 'until the next announcement', but an announcement equal to the last one was passed over, and that of a warm server says the same each time. The class: a state entered on an event and left only on a change.

Evidence: a real node and a simulated backend server that stops listening, listens again and repeats its announcement. On the code before, requests were still refused when the test gave up after 2 s (a trial shows the same answers after that).

Why this works: the pause forgets the last announcement, so that the next one counts as news whatever it says. The simulated server now closes its connections when it stops, as a process does.

--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -287,6 +287,8 @@
 
     def _lose_backend(self):
         """Take no new work for the backend server until it is announced."""
+        # The next announcement takes effect even if it says nothing new.
+        self._announced = None
         self._gate.drain()
 
     def _follow_data_centre(self, changes):
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -17,6 +17,7 @@
 
 import gevent
 from gevent import socket as gsocket
+from gevent.pool import Pool
 from gevent.server import StreamServer
 
 SECRET = 'a-secret-of-the-tests'
@@ -83,14 +84,25 @@
         self.instance = instance
         self.requests = []
         self.work_s = 0.0
-        self._server = StreamServer(address, self._serve, backlog=64)
+        self.start()
+
+    def start(self):
+        self._connections = Pool()
+        self._server = StreamServer(
+            self.address, self._serve, backlog=64, spawn=self._connections
+        )
         self._server.start()
 
     def stop(self):
+        """Close the listener and all connections."""
         self._server.stop(timeout=0)
+        self._connections.kill()
 
     def _serve(self, sock, _peer):
-        file = sock.makefile('rb')
+        with sock, sock.makefile('rb') as file:
+            self._answer_requests(sock, file)
+
+    def _answer_requests(self, sock, file):
         while head := self._read_head(file):
             self.requests.append(head)
             gevent.sleep(self.work_s)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -79,6 +79,16 @@
     eventually(lambda: fleet.request(1, '/desk/1')[0] == 200, 5)
 
 
+def test_unchanged_announcement_ends_a_pause_after_a_refused_connection(
+    fleet,
+):
+    fleet.backends[0].stop()
+    eventually(lambda: fleet.request(1, '/desk/1')[0] == 503, 5)
+    fleet.backends[0].start()
+    assert fleet.announce(0) == 200
+    eventually(lambda: fleet.request(1, '/desk/1')[0] == 200, 2)
+
+
 def test_changed_settings_end_no_process(fleet):
     for process in fleet.processes.values():
         process.send_signal(signal.SIGHUP)
