Test that every node serves every service after all were killed

A fleet of real processes is killed and started again on its data; each node then serves each service within the users' bound for a return, 15 s.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -172,6 +172,14 @@
                 stderr=log,
             )
 
+    def kill_all(self):
+        """Kill all processes and start them again on their own data."""
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.start()
+
     def _settings(self, ip):
         common = {
             'INTERFACE': 'platform',
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -89,6 +89,23 @@
     eventually(lambda: fleet.request(1, '/desk/1')[0] == 200, 2)
 
 
+def test_every_node_serves_every_service_after_all_processes_were_killed(
+    fleet,
+):
+    fleet.kill_all()
+    killed_s = time.monotonic()
+    for number in (0, 1):
+        eventually(lambda number=number: fleet.announce(number) == 200)
+    for number in (0, 1):
+        for path in ('/desk/1', '/once/1'):
+            eventually(
+                lambda number=number, path=path: (
+                    fleet.request(number, path)[0] == 200
+                )
+            )
+    assert time.monotonic() - killed_s < 15
+
+
 def test_changed_settings_end_no_process(fleet):
     for process in fleet.processes.values():
         process.send_signal(signal.SIGHUP)
