--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -287,7 +287,7 @@
 
     def _lose_backend(self):
         """Take no new work for the backend server until it is announced."""
-        # The next announcement takes effect even if it says nothing new.
+        # Otherwise an announcement equal to the last one would be ignored.
         self._announced = None
         self._gate.drain()
 
--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -403,7 +403,8 @@
                 if not part:
                     break
                 yield part
-                # Neither side may have blocked, and other greenlets wait.
+                # Reads and writes that do not block give other greenlets no
+                # turn, and an endless body may consist of these alone.
                 gevent.sleep(0)
             if reply.length:
                 raise _broken('the body was cut short')
--- a/damasklanding/node/watch.py
+++ b/damasklanding/node/watch.py
@@ -40,7 +40,8 @@
 SHUNNED_MS = 3_000  # a source that failed is tried after the others
 STALE_SOURCE_MS = 1_500  # a source whose proof is older is left
 RELAY_TURN_MS = 3_000  # a relay is left for a control host after this
-#: The same while backend servers of a service that was asked for are unknown.
+#: A relay is left after this while the view lacks the backend servers of a
+#: service that was asked for.
 INCOMPLETE_RELAY_TURN_MS = 500
 RETRY_MS = 100
 WANT_TIMEOUT_MS = 1_000
@@ -152,7 +153,8 @@
         try:
             self._follow(address)
         except _StaleSource:
-            # It has power and becomes current with the next election.
+            # A source that answers may become current at any time, a control
+            # host with the next election, so it is not shunned.
             self._exchange = None
         except DamasklandingError as error:
             self._exchange = None
