--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -77,7 +77,8 @@
 
     :ivar requests: request heads that it has read, as dicts by lower-case
         name.
-    :ivar work: function of a request head, run before the answer.
+    :ivar work: function of a request head, run before the answer; returns the
+        status line of the answer, None for a success.
     :ivar crash_path: path at which it closes its listener and all connections,
         as a process that ends does; None if there is none.
     :ivar down_s: time until it then starts again.
@@ -127,12 +128,12 @@
             if head['line'].split()[1] == self.crash_path:
                 gevent.spawn(self.crash)
                 gevent.sleep(1)  # until it is ended
-            self.work(head)
+            status = self.work(head) or '200 OK'
             expected = head.get('damasklanding-expected-instance')
             if expected not in (None, self.instance):
                 sock.sendall(_reply(head, '421 Misdirected', b'', signed=''))
             else:
-                sock.sendall(_reply(head, '200 OK', b'whole', signed='s.1'))
+                sock.sendall(_reply(head, status, b'whole', signed='s.1'))
 
     def _read_head(self, file):
         line = file.readline()
