--- a/damasklanding/messages.py
+++ b/damasklanding/messages.py
@@ -238,6 +238,8 @@
     Status and headers of an answer, with the body if it is small.
 
     :ivar body_length: size of a streamed body, -1 if unknown.
+    :ivar missing_services: services without a backend server that onward
+        calls of the request needed.
     """
 
     status: int
@@ -250,6 +252,7 @@
     outcome: str = 'ran'
     retry_after_ms: int = 0
     load: bytes = b''
+    missing_services: tuple[str, ...] = ()
 
 
 @packed_message('resume')
--- a/damasklanding/node/answers.py
+++ b/damasklanding/node/answers.py
@@ -60,6 +60,8 @@
     :ivar retries_left: unspent retries of the call chain.
     :ivar retry_after_ms: time after which to retry, 0 if none was given.
     :ivar load: encoded load report of the node that answered.
+    :ivar missing_services: services without a backend server that onward
+        calls of the request needed.
     :ivar release: function that frees the resources of a streamed body, None
         for other bodies.
     """
@@ -75,6 +77,7 @@
     retry_after_ms: int = 0
     load: bytes = b''
     release: object = None
+    missing_services: object = ()
 
     def close(self):
         """Free the resources of a streamed body; may be called again."""
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -31,6 +31,7 @@
 from damasklanding.node.peerserver import PeerServer
 from damasklanding.node.stopping import PlannedStop
 from damasklanding.node.upstream import Upstream
+from damasklanding.policy.dependencies import DependencyCheck
 from damasklanding.policy.quarantine import Quarantine
 
 __all__ = ['Node', 'NodeStatus']
@@ -78,6 +79,19 @@
     )
 
 
+def _log_dependency(service, profile, missing, refused):
+    text = 'are refused' if refused else 'are admitted again'
+    logger.warning(
+        'requests to {} of profile {} {}: their chains need {}, which {} '
+        'backend server that accepts calls',
+        service,
+        profile,
+        text,
+        ', '.join(sorted(missing)),
+        'has no' if refused else 'has a',
+    )
+
+
 class Node:
     """
     The data path of one node.
@@ -198,6 +212,9 @@
             retry_budget,
             metrics,
         )
+        dependencies = DependencyCheck(
+            now_ms, forwarder.has_backend, _log_dependency
+        )
         self.egress = None
         if caller_dialect is not None:
             entry = Ingress(
@@ -207,6 +224,7 @@
                 forwarder,
                 rate_limiter,
                 throttle,
+                dependencies,
                 self._table,
                 ensure_service,
                 metrics,
@@ -224,6 +242,7 @@
                 rate_limiter,
                 claims,
                 throttle,
+                dependencies,
                 ensure_service,
                 metrics,
                 self._planned_stop,
--- a/damasklanding/node/calls.py
+++ b/damasklanding/node/calls.py
@@ -138,6 +138,8 @@
     :ivar failed_onward: digests of the onward calls that have failed.
     :ivar had_onward_failure: whether an onward call has failed.
     :ivar may_retry: False once a failed onward call has excluded retries.
+    :ivar missing_services: services without a backend server that onward
+        calls needed.
     """
 
     __slots__ = (
@@ -147,6 +149,7 @@
         'failed_onward',
         'had_onward_failure',
         'may_retry',
+        'missing_services',
         'slot',
         'token',
     )
@@ -160,11 +163,13 @@
         self.failed_onward = set()
         self.had_onward_failure = False
         self.may_retry = True
+        self.missing_services = set()
 
     def record_answer(self, answer):
-        """Count an onward call if its answer reports no failure."""
+        """Record the answer to an onward call."""
         if answer.status < 500:
             self.answered_onward += 1
+        self.missing_services.update(answer.missing_services)
 
     def record_failure(self, digest, may_retry):
         """Record an onward call that failed."""
--- a/damasklanding/node/egress.py
+++ b/damasklanding/node/egress.py
@@ -107,6 +107,8 @@
             if call.certainly_not_run():
                 error.outcome = NOT_RUN
             running.record_failure(digest, error.may_retry)
+            if not self._forwarder.has_backend(call.service):
+                running.missing_services.add(call.service)
             error.retries_left = call.allowance.left
             raise
         running.record_answer(answer)
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -53,6 +53,8 @@
         :class:`~damasklanding.budget.rate_limiter.RateLimiter`.
     :param claims: :class:`~damasklanding.claims.client.ClaimClient`.
     :param throttle: :class:`~damasklanding.policy.throttle.AdaptiveThrottle`.
+    :param dependencies:
+        :class:`~damasklanding.policy.dependencies.DependencyCheck`.
     :param watch_service: function of a service's name, called before the
         first call to it; makes its backend servers known.
     :param planned_stop:
@@ -67,6 +69,7 @@
         rate_limiter,
         claims,
         throttle,
+        dependencies,
         watch_service,
         metrics,
         planned_stop,
@@ -77,6 +80,7 @@
         self._rate_limiter = rate_limiter
         self._idempotency_claims = IdempotencyClaims(claims, view.now_ms)
         self._throttle = throttle
+        self._dependencies = dependencies
         self._watch_service = watch_service
         self._metrics = metrics
         self._planned_stop = planned_stop
@@ -124,9 +128,21 @@
             self._ensure_watched(call.service)
             key = request.header_map.get(IDEMPOTENCY_KEY)
             if key is None or profile.idempotent:
-                return self._forwarder.forward(call)
+                return self._forward(call)
             return self._forward_claimed(call, key, profile, state)
 
+    def _forward(self, call):
+        answer = self._forwarder.forward(call)
+        for service in answer.missing_services:
+            self._ensure_watched(service)
+        self._dependencies.note(
+            call.service,
+            call.profile,
+            answer.status < 500,
+            answer.missing_services,
+        )
+        return answer
+
     def _forward_claimed(self, call, key, profile, state):
         try:
             claim_reply, kept_answer = self._idempotency_claims.claim(
@@ -141,7 +157,7 @@
         with self._idempotency_claims.recorded_outcome(
             call, key, claim_reply.attempt
         ) as set_answer:
-            answer = self._forwarder.forward(call)
+            answer = self._forward(call)
             set_answer(answer)
         return answer
 
@@ -185,8 +201,9 @@
         wait_ms = min(profile.longest_wait_ms, int(left_ms))
         return_tokens = self._rate_limiter.take(organisation, wait_ms)
         try:
+            self._dependencies.check(call.service, call.profile)
             self._throttle.check(call.service, call.profile, call.importance)
-        except Refusal:
+        except DamasklandingError:
             return_tokens()
             raise
 
--- a/damasklanding/node/forward.py
+++ b/damasklanding/node/forward.py
@@ -96,6 +96,10 @@
             call.maybe_sent = False
             tries.drop_stream()
 
+    def has_backend(self, service):
+        """Return whether a backend server of a service accepts calls."""
+        return self._router.has_usable(self._candidates_of(service))
+
     def _try(self, call, tries):
         """Make one attempt; return None or the failed answer or error."""
         try:
@@ -121,15 +125,17 @@
         return answer
 
     def _choose(self, call, excluded):
-        candidates = self._candidates.get(call.service)
-        if candidates is None:
-            candidates = self._index(call.service)
+        candidates = self._candidates_of(call.service)
         for backend in candidates:
             if backend.name == self._name:
                 self._router.update_load(self._name, self._own_load())
                 break
         return self._router.choose(candidates, call, excluded)
 
+    def _candidates_of(self, service):
+        candidates = self._candidates.get(service)
+        return self._index(service) if candidates is None else candidates
+
     def _index(self, service):
         candidates = [
             backend
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -47,6 +47,8 @@
     :param rate_limiter:
         :class:`~damasklanding.budget.rate_limiter.RateLimiter`.
     :param throttle: :class:`~damasklanding.policy.throttle.AdaptiveThrottle`.
+    :param dependencies:
+        :class:`~damasklanding.policy.dependencies.DependencyCheck`.
     :param table: :class:`~damasklanding.node.calls.CallTable`.
     :param watch_service: function of a service's name, called before the
         first call to it; makes its backend servers known.
@@ -65,6 +67,7 @@
         forwarder,
         rate_limiter,
         throttle,
+        dependencies,
         table,
         watch_service,
         metrics,
@@ -78,6 +81,7 @@
         self._forwarder = forwarder
         self._rate_limiter = rate_limiter
         self._throttle = throttle
+        self._dependencies = dependencies
         self._table = table
         self._watch_service = watch_service
         self._metrics = metrics
@@ -177,14 +181,31 @@
             request.disconnect_watcher.stop()
 
     def _forward(self, call, state):
+        self._dependencies.check(call.service, call.profile)
         self._throttle.check(call.service, call.profile, call.importance)
         state.admitted = True
         self._ensure_watched(call.service)
-        return self._forwarder.forward(call)
+        answer = self._forwarder.forward(call)
+        for service in answer.missing_services:
+            self._ensure_watched(service)
+        self._dependencies.note(
+            call.service,
+            call.profile,
+            answer.status < 500,
+            answer.missing_services,
+        )
+        return answer
 
     def _forward_onward(self, call, parent):
         self._ensure_watched(call.service)
-        answer = self._forwarder.forward(call)
+        try:
+            answer = self._forwarder.forward(call)
+        except DamasklandingError:
+            if parent is not None and not self._forwarder.has_backend(
+                call.service
+            ):
+                parent.missing_services.add(call.service)
+            raise
         if parent is not None:
             parent.record_answer(answer)
         return answer
--- a/damasklanding/node/local_backend.py
+++ b/damasklanding/node/local_backend.py
@@ -133,6 +133,7 @@
             raise
         self._count(call, 'ok' if answer.status < 500 else 'failed')
         answer.retries_left = call.allowance.left
+        answer.missing_services = running.missing_services
         return answer
 
     @contextmanager
--- a/damasklanding/node/peers.py
+++ b/damasklanding/node/peers.py
@@ -206,6 +206,7 @@
         retries_left=message.retries_left,
         retry_after_ms=message.retry_after_ms,
         load=message.load,
+        missing_services=message.missing_services,
     )
 
 
--- a/damasklanding/node/peerserver.py
+++ b/damasklanding/node/peerserver.py
@@ -178,6 +178,7 @@
             outcome=answer.outcome,
             retry_after_ms=answer.retry_after_ms,
             load=self._load(),
+            missing_services=tuple(answer.missing_services),
         )
 
     def _problem(self, error, call):
--- /dev/null
+++ b/damasklanding/policy/dependencies.py
@@ -0,0 +1,123 @@
+"""
+damasklanding.policy.dependencies
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Services that the call chains of requests need and that have no backend
+server.  An entry node learns them from requests that failed for lack of one,
+and refuses further requests of the same kind before they run.
+"""
+
+from damasklanding.errors import Unavailable
+
+__all__ = ['DependencyCheck']
+
+#: Requests of one kind that must fail in a row before others are refused; a
+#: kind of which only some requests need the service is not refused.
+MIN_FAILURES_IN_ROW = 8
+#: Time between the requests that are admitted to find out whether the kind
+#: still needs the service; it doubles with each of them that fails.
+MIN_PROBE_INTERVAL_MS = 1_000.0
+MAX_PROBE_INTERVAL_MS = 16_000.0
+RETRY_AFTER_MS = 1_000
+
+
+class _Kind:
+    """
+    What is known of the requests of one service and profile.
+
+    :ivar missing: services without a backend server that they needed.
+    :ivar failures_in_row: requests that failed for lack of such a service
+        since one was answered.
+    :ivar probe_interval_ms: time from one probe to the next.
+    :ivar next_probe_ms: time from which one more request is admitted.
+    """
+
+    __slots__ = (
+        'failures_in_row',
+        'missing',
+        'next_probe_ms',
+        'probe_interval_ms',
+    )
+
+    def __init__(self):
+        self.missing = frozenset()
+        self.failures_in_row = 0
+        self.probe_interval_ms = MIN_PROBE_INTERVAL_MS
+        self.next_probe_ms = 0.0
+
+
+class DependencyCheck:
+    """
+    Refuses requests whose call chains need a service without backend servers.
+
+    As soon as the service has a backend server again, they are admitted.
+
+    :param now_ms: function that returns the current time in milliseconds.
+    :param has_backend: function of a service's name; returns whether one of
+        its backend servers accepts calls.
+    :param on_change: function of a service, a profile, the names of the
+        missing services and whether requests are refused from now on; called
+        when that changes.
+    """
+
+    def __init__(self, now_ms, has_backend, on_change):
+        self._now_ms = now_ms
+        self._has_backend = has_backend
+        self._on_change = on_change
+        self._kinds = {}
+
+    def check(self, service, profile):
+        """
+        Refuse a request that would fail for lack of a service.
+
+        :raises Unavailable: the request is refused and has not been run.
+        """
+        kind = self._kinds.get((service, profile))
+        if kind is None:
+            return
+        if any(map(self._has_backend, kind.missing)):
+            self._forget(service, profile)
+            return
+        if kind.failures_in_row < MIN_FAILURES_IN_ROW:
+            return
+        now_ms = self._now_ms()
+        if now_ms >= kind.next_probe_ms:
+            kind.next_probe_ms = now_ms + kind.probe_interval_ms
+            kind.probe_interval_ms = min(
+                MAX_PROBE_INTERVAL_MS, 2 * kind.probe_interval_ms
+            )
+            return
+        names = ', '.join(sorted(kind.missing))
+        raise Unavailable(
+            f'requests like this one need {names}, which has no backend '
+            f'server that accepts calls',
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    def note(self, service, profile, succeeded, missing):
+        """
+        Record the end of an admitted request.
+
+        :param succeeded: whether its answer reports no failure.
+        :param missing: names of the services without a backend server that
+            its call chain needed.
+        """
+        if succeeded:
+            self._forget(service, profile)
+        elif missing:
+            self._note_failure(service, profile, frozenset(missing))
+
+    def _note_failure(self, service, profile, missing):
+        kind = self._kinds.get((service, profile))
+        if kind is None:
+            kind = self._kinds[service, profile] = _Kind()
+        kind.missing = missing
+        kind.failures_in_row += 1
+        if kind.failures_in_row == MIN_FAILURES_IN_ROW:
+            kind.next_probe_ms = self._now_ms() + kind.probe_interval_ms
+            self._on_change(service, profile, missing, True)
+
+    def _forget(self, service, profile):
+        kind = self._kinds.pop((service, profile), None)
+        if kind is not None and kind.failures_in_row >= MIN_FAILURES_IN_ROW:
+            self._on_change(service, profile, kind.missing, False)
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -213,6 +213,10 @@
         self._refuse_if_shed(healthy, request)
         return self._pick(healthy, now_ms).backend
 
+    def has_usable(self, candidates):
+        """Return whether a backend server accepts calls, as far as known."""
+        return bool(self._usable(candidates, (), self._now_ms()))
+
     def _without_failing(self, candidates, now_ms):
         """
         Leave out candidates that fail far more often than the others.
--- /dev/null
+++ b/tests/test_dependencies.py
@@ -0,0 +1,102 @@
+from itertools import pairwise
+
+import pytest
+
+from damasklanding.errors import Unavailable
+from damasklanding.policy.dependencies import MAX_PROBE_INTERVAL_MS
+from damasklanding.policy.dependencies import MIN_FAILURES_IN_ROW
+from damasklanding.policy.dependencies import DependencyCheck
+
+
+class Fixture:
+    """A check with a clock and a set of services that have servers."""
+
+    def __init__(self):
+        self.now_ms = 0.0
+        self.available = set()
+        self.changes = []
+        self.check = DependencyCheck(
+            lambda: self.now_ms,
+            self.available.__contains__,
+            lambda *change: self.changes.append(change),
+        )
+
+    def admits(self, profile='view'):
+        try:
+            self.check.check('desk', profile)
+        except Unavailable:
+            return False
+        return True
+
+    def fail(self, count=1, profile='view'):
+        for _ in range(count):
+            self.check.note('desk', profile, False, {'ledger'})
+
+    def succeed(self, profile='view'):
+        self.check.note('desk', profile, True, ())
+
+
+@pytest.fixture
+def fixture():
+    return Fixture()
+
+
+def test_requests_are_refused_once_enough_failed_in_a_row(fixture):
+    fixture.fail(MIN_FAILURES_IN_ROW - 1)
+    assert fixture.admits()
+    fixture.fail()
+    assert not fixture.admits()
+    assert fixture.admits('register')
+    assert fixture.changes == [('desk', 'view', frozenset({'ledger'}), True)]
+
+
+def test_refusal_names_the_service_and_when_to_return(fixture):
+    fixture.fail(MIN_FAILURES_IN_ROW)
+    with pytest.raises(Unavailable, match='need ledger') as raised:
+        fixture.check.check('desk', 'view')
+    assert raised.value.retry_after_ms > 0
+
+
+def test_requests_are_admitted_as_soon_as_the_service_has_a_server(fixture):
+    fixture.fail(MIN_FAILURES_IN_ROW)
+    fixture.available.add('ledger')
+    assert fixture.admits()
+    assert fixture.changes[-1][-1] is False
+    fixture.available.clear()
+    assert fixture.admits()
+
+
+def test_kind_of_which_some_requests_need_no_missing_service_is_admitted(
+    fixture,
+):
+    for _ in range(10):
+        fixture.fail(MIN_FAILURES_IN_ROW - 1)
+        fixture.succeed()
+        assert fixture.admits()
+
+
+def test_other_failures_refuse_nothing(fixture):
+    for _ in range(3 * MIN_FAILURES_IN_ROW):
+        fixture.check.note('desk', 'view', False, ())
+    assert fixture.admits()
+
+
+def test_probes_become_rare_but_never_end(fixture):
+    fixture.fail(MIN_FAILURES_IN_ROW)
+    admitted_ms = []
+    while fixture.now_ms < 10 * MAX_PROBE_INTERVAL_MS:
+        fixture.now_ms += 100.0
+        if fixture.admits():
+            admitted_ms.append(fixture.now_ms)
+            fixture.fail()
+    gaps_ms = [b - a for a, b in pairwise(admitted_ms)]
+    assert gaps_ms == sorted(gaps_ms)
+    assert max(gaps_ms) <= MAX_PROBE_INTERVAL_MS + 100.0
+
+
+def test_probe_that_is_answered_ends_the_refusals(fixture):
+    fixture.fail(MIN_FAILURES_IN_ROW)
+    fixture.now_ms = MAX_PROBE_INTERVAL_MS
+    assert fixture.admits()
+    fixture.succeed()
+    assert all(fixture.admits() for _ in range(10))
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -50,7 +50,7 @@
 
 
 class NullCollaborator:
-    """A caller that never disconnects; a throttle that refuses nothing."""
+    """A caller that never disconnects; a check that refuses nothing."""
 
     def watch(self, body, should_cancel):
         return None
@@ -58,10 +58,10 @@
     def stop(self):
         return None
 
-    def check(self, service, profile, importance):
+    def check(self, *_request):
         return None
 
-    def note(self, service, profile, importance, overloaded):
+    def note(self, *_outcome):
         return None
 
 
@@ -85,6 +85,7 @@
         SimpleNamespace(forward=forward),
         rate_limiter,
         throttle or NullCollaborator(),
+        NullCollaborator(),
         CallTable(),
         lambda service: None,
         Metrics(),
