--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -79,6 +79,7 @@
         name.
     :ivar work: function of a request head, run before the answer; returns the
         status line of the answer, None for a success.
+    :ivar notices: header lines that every answer carries.
     :ivar crash_path: path at which it closes its listener and all connections,
         as a process that ends does; None if there is none.
     :ivar down_s: time until it then starts again.
@@ -91,6 +92,7 @@
         self.instance = instance
         self.requests = []
         self.work = lambda head: None
+        self.notices = []
         self.crash_path = None
         self.down_s = 1.0
         self.born = 1_000
@@ -131,9 +133,10 @@
             status = self.work(head) or '200 OK'
             expected = head.get('damasklanding-expected-instance')
             if expected not in (None, self.instance):
-                sock.sendall(_reply(head, '421 Misdirected', b'', signed=''))
+                reply = _reply(head, '421 Misdirected', b'', signed='')
             else:
-                sock.sendall(_reply(head, status, b'whole', signed='s.1'))
+                reply = _reply(head, status, b'whole', 's.1', self.notices)
+            sock.sendall(reply)
 
     def _read_head(self, file):
         line = file.readline()
@@ -147,11 +150,12 @@
         return head
 
 
-def _reply(head, status, body, signed):
+def _reply(head, status, body, signed, notices=()):
     lines = [
         f'HTTP/1.1 {status}',
         f'Damasklanding-Attempt-Id: {head.get("damasklanding-attempt-id")}',
         f'Content-Length: {len(body)}',
+        *notices,
     ]
     if signed:
         lines.append(f'Damasklanding-Server-Signature: {signed}')
