--- a/damasklanding/errors.py
+++ b/damasklanding/errors.py
@@ -33,6 +33,7 @@
     'PeerLost',
     'Quarantined',
     'Refusal',
+    'ServerLimited',
     'StaleState',
     'TooLarge',
     'Unavailable',
@@ -233,6 +234,12 @@
     may_retry = True
 
 
+class ServerLimited(Overloaded):
+    """The backend server has named a rate, which is used up."""
+
+    code = 'server-limited'
+
+
 class Draining(Refusal):
     """The backend server or data centre takes no new work."""
 
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -18,6 +18,7 @@
 from damasklanding.node.calls import random_token
 from damasklanding.node.crashes import CrashWatch
 from damasklanding.node.dialect import DEFAULT_BACKEND_DIALECT
+from damasklanding.node.dialect import read_no_notice
 from damasklanding.node.egress import Egress
 from damasklanding.node.entry import Entry
 from damasklanding.node.forward import Forwarder
@@ -144,6 +145,8 @@
         self._settings = settings
         self._gate = gate
         self._announced = None
+        self._start = ''
+        self._started_ms = float('-inf')
         self._planned_stop = PlannedStop(view.now_ms, metrics)
         self._on_announce = on_announce
         self._metrics = metrics
@@ -182,8 +185,9 @@
             now_ms,
             backend_dialect,
             SUSPECT_AFTER_MS if dialects else 0,
-            self._crashes.check,
+            self._check_send,
             self._crashes.broke_off,
+            self._note_notice,
         )
         self._local_backend = LocalBackend(
             settings,
@@ -198,6 +202,8 @@
             self._lose_backend,
             decisions,
         )
+        self._names_limits = backend_dialect.read_notice is not read_no_notice
+        self._expect_first_answer()
         self.load_report_cache = load_report_cache = LoadReportCache(
             gate.load, now_ms
         )
@@ -358,6 +364,8 @@
 
     def announce(self, announcement):
         """Take an announcement of the backend server beside this node."""
+        if announcement.start != self._start:
+            self._switch_start(announcement.start)
         if announcement != self._announced:
             self._announced = announcement
             self._crashes.announce(announcement)
@@ -378,6 +386,30 @@
             announcement.cold, announcement.slots, announcement.cold_for_ms
         )
 
+    def _switch_start(self, start):
+        """Forget what an earlier start of the backend server has said."""
+        self._start = start
+        self._started_ms = self._now_ms()
+        self._expect_first_answer()
+
+    def _expect_first_answer(self):
+        if self._names_limits:
+            self._gate.server_rate.expect_first_answer()
+
+    def _check_send(self, call):
+        """Check a call just before it is sent to the backend server."""
+        self._crashes.check(call)
+        was_sent = call.sent_ms is not None
+        if was_sent:
+            self._gate.server_rate.take()
+
+    def _note_notice(self, call, notice):
+        """Take what the backend server says of itself in an answer."""
+        if call.sent_ms < self._started_ms:
+            return
+        if notice.rate_per_s is not None:
+            self._gate.note_rate(notice.rate_per_s, call.sent_ms)
+
     def _on_crash(self):
         self._upstream.close()
         self._lose_backend()
--- a/damasklanding/node/dialect.py
+++ b/damasklanding/node/dialect.py
@@ -25,8 +25,10 @@
     'DEFAULT_BACKEND_DIALECT',
     'SHED_STATUSES',
     'BackendDialect',
+    'BackendNotice',
     'CallerDialect',
     'CallerHead',
+    'read_no_notice',
 ]
 
 #: Statuses with which a backend server sheds load.
@@ -75,6 +77,22 @@
     error_answer: object
 
 
+@dataclass(frozen=True, slots=True)
+class BackendNotice:
+    """
+    What a backend server says of itself in an answer.
+
+    :ivar rate_per_s: requests a second that it takes from all hosts together,
+        infinite where it names no limit, None where the limit can't be read.
+    """
+
+    rate_per_s: float | None = float('inf')
+
+
+def read_no_notice(_reply):
+    """Return None, where answers say nothing of the backend server."""
+
+
 @dataclass(frozen=True)
 class BackendDialect:
     """
@@ -92,6 +110,8 @@
         trusted.
     :ivar until_close: whether the end of the connection may mark the end of
         a reply's body.
+    :ivar read_notice: function of a reply; returns its
+        :class:`BackendNotice`, or None.
     """
 
     head_lines: object
@@ -99,6 +119,7 @@
     answer_headers: object
     set_outcome: object
     until_close: bool = False
+    read_notice: object = read_no_notice
 
 
 def _head_lines(call, token, address, _instance, left_ms):
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -19,6 +19,7 @@
 from damasklanding.errors import Overloaded
 from damasklanding.errors import Quarantined
 from damasklanding.errors import Refusal
+from damasklanding.errors import ServerLimited
 from damasklanding.errors import UpstreamTimeout
 from damasklanding.headers import DEADLINE_MS
 from damasklanding.headers import IDEMPOTENCY_KEY
@@ -40,7 +41,12 @@
 #: Codes of errors that count as overload: a service in the call chain had no
 #: free slot or ran out of time.
 OVERLOAD_CODES = frozenset(
-    (Overloaded.code, DeadlineExceeded.code, UpstreamTimeout.code)
+    (
+        Overloaded.code,
+        ServerLimited.code,
+        DeadlineExceeded.code,
+        UpstreamTimeout.code,
+    )
 )
 
 
--- a/damasklanding/node/forward.py
+++ b/damasklanding/node/forward.py
@@ -13,6 +13,7 @@
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import Draining
 from damasklanding.errors import PeerLost
+from damasklanding.errors import ServerLimited
 from damasklanding.errors import Unavailable
 from damasklanding.errors import UpstreamFailed
 from damasklanding.errors import UpstreamTimeout
@@ -31,7 +32,7 @@
 __all__ = ['Forwarder']
 
 #: Refusals that only name another node and cost no backend server.
-_FREE = (Draining, Unavailable)
+_FREE = (Draining, ServerLimited, Unavailable)
 #: Verdicts after which no node above may retry either.
 _FINAL = frozenset(
     (
--- a/damasklanding/node/registration.py
+++ b/damasklanding/node/registration.py
@@ -48,6 +48,13 @@
     cold_for_ms: int = 0
     started_at_ms: int = 0
 
+    @property
+    def start(self):
+        """Return an id of the present start, empty where it names none."""
+        if not self.instance:
+            return ''
+        return f'{self.instance}@{self.started_at_ms}'
+
 
 class Registration:
     """
--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -156,6 +156,10 @@
     return None
 
 
+def _ignore_notice(_call, _notice):
+    return None
+
+
 def _not_ended(_call, _error):
     return False
 
@@ -173,6 +177,8 @@
     :param broke_off: function of a call and its error, called when the
         connection breaks before the whole answer; returns whether the backend
         server has ended.
+    :param on_notice: function of a call and the
+        :class:`~damasklanding.node.dialect.BackendNotice` in its answer.
     :ivar instance: id of the backend server's present start.
     """
 
@@ -184,6 +190,7 @@
         suspect_after_ms=0,
         check=_nothing,
         broke_off=_not_ended,
+        on_notice=_ignore_notice,
     ):
         self.address = address
         self.instance = ''
@@ -193,6 +200,7 @@
         self._now_ms = now_ms
         self._check = check
         self._broke_off = broke_off
+        self._on_notice = on_notice
         self._idle = deque()
         self._answer_ms = 0.0
         self._silence_seen_ms = 0.0
@@ -435,6 +443,9 @@
     def _answer(self, connection, call, reply):
         answer = Answer(reply.status, self._dialect.answer_headers(reply))
         self._dialect.set_outcome(answer, reply, call)
+        notice = self._dialect.read_notice(reply)
+        if notice is not None:
+            self._on_notice(call, notice)
         first = b''
         connection.emptied = False
         if reply.length is None:
--- a/damasklanding/platform/headers.py
+++ b/damasklanding/platform/headers.py
@@ -6,6 +6,8 @@
 servers use.
 """
 
+import re
+
 import msgspec
 
 from damasklanding.errors import UpstreamFailed
@@ -13,6 +15,7 @@
 from damasklanding.node.answers import NOT_RUN
 from damasklanding.node.answers import Answer
 from damasklanding.node.dialect import BackendDialect
+from damasklanding.node.dialect import BackendNotice
 from damasklanding.node.dialect import CallerDialect
 from damasklanding.node.dialect import CallerHead
 
@@ -25,6 +28,7 @@
 CALLING_SERVICE = 'damasklanding-caller-service'
 ORGANISATION = 'damasklanding-tenant'
 NOT_EXECUTED = 'damasklanding-not-executed'
+SERVER_LIMIT = 'server-limit'
 KEY = 'authorization'
 KEY_SCHEME = 'token '
 
@@ -41,9 +45,11 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 #: Statuses for an invalid request, which has not run either.
 _INVALID_REQUEST_STATUSES = frozenset((400, 401, 404, 413, 431))
+MISDIRECTED_STATUS = 421
 UNKNOWN_OUTCOME_STATUS = 502
 NOT_RUN_STATUS = 503
 MAX_DEADLINE_DIGITS = 9
+_is_decimal = re.compile(r'[0-9]{1,12}(?:\.[0-9]{1,30})?').fullmatch
 
 
 class RefusalBody(msgspec.Struct):
@@ -154,16 +160,32 @@
 
 def _set_outcome(answer, reply, _call):
     status = answer.status
-    if status == 421 or NOT_EXECUTED in reply.header_map:
+    if status == MISDIRECTED_STATUS or NOT_EXECUTED in reply.header_map:
         answer.outcome = NOT_RUN
         answer.may_retry = True
     elif status < 300 and SIGNATURE not in reply.header_map:
         raise UpstreamFailed('the backend server did not sign its answer')
 
 
+def _read_notice(reply):
+    """Return the notice of the server that was asked, None of another."""
+    if reply.status == MISDIRECTED_STATUS:
+        return None
+    named = reply.header_map.get(SERVER_LIMIT)
+    if named is None:
+        return BackendNotice()
+    rate_per_s = float(named) if _is_decimal(named) else None
+    return BackendNotice(rate_per_s)
+
+
 CALLER_DIALECT = CallerDialect(
     _read_head, _forwarded_headers, _header_pairs, _error_answer
 )
 BACKEND_DIALECT = BackendDialect(
-    _head_lines, _matches_call, _answer_headers, _set_outcome, until_close=True
+    _head_lines,
+    _matches_call,
+    _answer_headers,
+    _set_outcome,
+    until_close=True,
+    read_notice=_read_notice,
 )
--- a/damasklanding/policy/gate.py
+++ b/damasklanding/policy/gate.py
@@ -16,8 +16,10 @@
 from damasklanding.errors import DeadlineExceeded
 from damasklanding.errors import Draining
 from damasklanding.errors import Overloaded
+from damasklanding.errors import ServerLimited
 from damasklanding.policy.limiter import AdaptiveLimiter
 from damasklanding.policy.queue import WaitQueue
+from damasklanding.policy.serverrate import ServerRate
 from damasklanding.policy.throttle import RefusalLevels
 from damasklanding.policy.types import CallResult
 from damasklanding.policy.types import LoadReport
@@ -116,13 +118,24 @@
         or an object with the same methods.
     :param queue: :class:`~damasklanding.policy.queue.WaitQueue`.
     :param levels: :class:`~damasklanding.policy.throttle.RefusalLevels`.
+    :param server_rate:
+        :class:`~damasklanding.policy.serverrate.ServerRate`.
     :param now_ms: function that returns the current time in milliseconds;
-        the limiter, the queue and the levels must use the same clock.
+        the other parameters must use the same clock.
     :ivar draining: whether new calls are refused.
     """
 
-    def __init__(self, service, limiter, queue, levels, now_ms=monotonic_ms):
+    def __init__(
+        self,
+        service,
+        limiter,
+        queue,
+        levels,
+        server_rate,
+        now_ms=monotonic_ms,
+    ):
         self.service = service
+        self.server_rate = server_rate
         self.limiter = limiter
         self.queue = queue
         self.levels = levels
@@ -164,11 +177,16 @@
             cold=self.limiter.cold,
             draining=self.draining,
             shed_below=self.levels.shed_below(),
+            rate_per_s=(
+                self.server_rate.rate_per_s
+                if self.server_rate.is_limited
+                else 0.0
+            ),
         )
 
     def expected_wait_ms(self, request):
         """Return the expected queue wait of a new call."""
-        if not self.queue.length and self.limiter.has_capacity():
+        if not self.queue.length and self._has_capacity():
             return 0.0
         return self._queue_wait_ms(self.queue.count_ahead_of(request))
 
@@ -183,6 +201,18 @@
         self.limiter.announce(cold, slots, cold_for_ms)
         self._dispatch()
 
+    def note_rate(self, rate_per_s, sent_ms):
+        """
+        Take the rate that an answer of the backend server names.
+
+        :param rate_per_s: infinite where it names none.
+        :param sent_ms: time at which the request was sent.
+        """
+        former_per_s = self.server_rate.rate_per_s
+        self.server_rate.note(rate_per_s, sent_ms)
+        if self.server_rate.rate_per_s > former_per_s:
+            self._dispatch()
+
     def drain(self):
         """Refuse new calls; calls that wait or run continue."""
         self.draining = True
@@ -200,8 +230,8 @@
         if arrived_ms >= request.deadline_at_ms:
             raise self._deadline_error(request)
         try:
-            if not self.queue.length and self.limiter.has_capacity():
-                call = self.limiter.begin(request.profile)
+            if not self.queue.length and self._has_capacity():
+                call = self._begin(request.profile)
                 waited_ms = 0.0
             else:
                 call = self._wait_for_slot(request, arrived_ms)
@@ -244,9 +274,13 @@
         return waiter.call
 
     def _is_wait_hopeless(self, request, allowed_ms):
+        ahead = self.queue.count_ahead_of(request)
+        rate_wait_ms = self.server_rate.wait_ms(ahead + 1)
+        if rate_wait_ms > HOPELESS_WAIT_RATIO * allowed_ms:
+            return True
         if request.discipline != 'fifo' and self.queue.has_standing_queue():
             return False
-        expected_ms = self._queue_wait_ms(self.queue.count_ahead_of(request))
+        expected_ms = self._queue_wait_ms(ahead)
         return expected_ms > HOPELESS_WAIT_RATIO * allowed_ms
 
     def _abandon(self, ticket, waiter):
@@ -267,30 +301,50 @@
     def _dispatch(self):
         if not self.queue.length:
             return
-        while self.queue.length and self.limiter.has_capacity():
+        while self.queue.length and self._has_capacity():
             ticket = self.queue.take()
             if ticket is None:
                 return
             waiter = ticket.context
-            waiter.call = self.limiter.begin(ticket.request.profile)
+            waiter.call = self._begin(ticket.request.profile)
             waiter.event.set()
         if self.queue.length and (
-            not self.limiter.running or self.limiter.pause_ms() > 0
+            not self.limiter.running or self._pause_ms() > 0
         ):
             self._schedule_dispatch()
 
+    def _has_capacity(self):
+        return (
+            self.limiter.has_capacity() and self.server_rate.wait_ms() <= 0.0
+        )
+
+    def _begin(self, profile):
+        self.server_rate.take()
+        return self.limiter.begin(profile)
+
+    def _pause_ms(self):
+        return max(self.limiter.pause_ms(), self.server_rate.wait_ms())
+
     def _schedule_dispatch(self):
         if self._timer is not None:
             self._timer.kill(block=False)
-        pause_s = self.limiter.pause_ms() / 1000.0
+        pause_s = self._pause_ms() / 1000.0
         self._timer = gevent.spawn_later(pause_s, self._dispatch)
 
     def _queue_wait_ms(self, ahead):
+        rate_wait_ms = self.server_rate.wait_ms(ahead + 1)
         if not ahead and self.limiter.running < self.limiter.limit:
-            return 0.0
-        return (ahead + 1) * self._service_times.mean_ms / self.limiter.limit
+            return rate_wait_ms
+        slot_wait_ms = self._service_times.mean_ms / self.limiter.limit
+        return max(rate_wait_ms, (ahead + 1) * slot_wait_ms)
 
     def _overloaded_error(self, request):
+        if self.server_rate.is_limited:
+            return ServerLimited(
+                f'the backend server of {self.service} takes '
+                f'{self.server_rate.rate_per_s:g} requests a second',
+                retry_after_ms=self._retry_after_ms(request),
+            )
         return Overloaded(
             f'no free slot at {self.service} within the longest wait',
             retry_after_ms=self._retry_after_ms(request),
@@ -361,5 +415,6 @@
         build_limiter(now_ms),
         WaitQueue(now_ms),
         RefusalLevels(now_ms),
+        ServerRate(now_ms),
         now_ms,
     )
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -206,12 +206,13 @@
             self._refuse_if_shed(usable, request)
             return usable[0].backend
         healthy = self._without_failing(_healthy(usable, now_ms), now_ms)
-        for tier in self._tiers(healthy, now_ms):
+        admitting = [c for c in healthy if self._has_rate(c)]
+        for tier in self._tiers(admitting, now_ms):
             best = self._pick(tier, now_ms)
             if best is not None and self._has_capacity(best):
                 return best.backend
         self._refuse_if_shed(healthy, request)
-        return self._pick(healthy, now_ms).backend
+        return self._pick(admitting or healthy, now_ms).backend
 
     def has_usable(self, candidates):
         """Return whether a backend server accepts calls, as far as known."""
@@ -364,6 +365,16 @@
                 return False
         return _load(candidate) < report.limit
 
+    def _has_rate(self, candidate):
+        """Return whether the rate that a server names admits a call now."""
+        report = candidate.stats.report
+        if not report.rate_per_s:
+            return True
+        if report.wait_ms > 0:
+            return False
+        is_own = candidate.backend.name == self._own_name
+        return is_own or not candidate.stats.outstanding
+
     def _refuse_if_shed(self, candidates, request):
         for candidate in candidates:
             if request.importance >= candidate.stats.report.shed_below:
--- a/damasklanding/policy/types.py
+++ b/damasklanding/policy/types.py
@@ -74,6 +74,8 @@
     :ivar cold: whether the backend server is treated as cold.
     :ivar draining: whether the node refuses new calls.
     :ivar shed_below: importance below which most calls are refused now.
+    :ivar rate_per_s: requests a second that the backend server takes from all
+        hosts together, 0.0 if it names no limit.
     :ivar downstream: ``shed_below`` of overloaded services by name, as
         learned from downstream calls.
     """
@@ -88,6 +90,7 @@
     draining: bool = False
     shed_below: int = 0
     downstream: dict[str, int] = {}
+    rate_per_s: float = 0.0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -9,6 +9,8 @@
 from damasklanding.errors import DeadlineExceeded
 from damasklanding.errors import Draining
 from damasklanding.errors import Overloaded
+from damasklanding.errors import ServerLimited
+from damasklanding.policy.announcedlimiter import AnnouncedLimiter
 from damasklanding.policy.gate import build_admission_gate
 from damasklanding.policy.types import AdmissionRequest
 from damasklanding.policy.types import CallResult
@@ -140,3 +142,65 @@
     assert set(ends.values()) == {1}
     load = gate.load()
     assert (load.running, load.queued) == (0, 0)
+
+
+def limited_gate(rate_per_s):
+    """Return a gate with free slots whose server names a rate."""
+    gate = build_admission_gate(
+        's', build_limiter=lambda now_ms: AnnouncedLimiter(now_ms, lambda: 0.0)
+    )
+    gate.announce(False, slots=100)
+    gate.note_rate(rate_per_s, monotonic_ms())
+    return gate
+
+
+def serve(gate, served, **fields):
+    with gate.admit(make_request(**fields)) as slot:
+        slot.finish(CallResult.OK)
+    served.append(fields)
+
+
+def test_named_rate_bounds_calls_although_slots_are_free():
+    gate = limited_gate(20.0)
+    served = []
+    greenlets = [
+        gevent.spawn(serve, gate, served, wait_ms=500) for _ in range(30)
+    ]
+    gevent.joinall(greenlets, timeout=0.5)
+    assert 5 <= len(served) <= 20 * 0.5 + 6
+    assert gate.load().rate_per_s == 20.0
+
+
+def test_wait_that_a_named_rate_makes_too_long_is_refused_at_once():
+    gate = limited_gate(1.0)
+    served = []
+    serve(gate, served)
+    began_ms = monotonic_ms()
+    with pytest.raises(ServerLimited) as caught:
+        serve(gate, served, wait_ms=400)
+    assert monotonic_ms() - began_ms < 100
+    assert caught.value.retry_after_ms > 400
+
+
+def test_important_calls_get_what_a_named_rate_leaves():
+    gate = limited_gate(20.0)
+    served = []
+    greenlets = [
+        gevent.spawn(serve, gate, served, importance=importance, wait_ms=900)
+        for _ in range(12)
+        for importance in (0, 2)
+    ]
+    gevent.joinall(greenlets, timeout=0.6)
+    by_importance = Counter(fields['importance'] for fields in served[6:])
+    assert by_importance[2] >= 0.8 * by_importance.total()
+
+
+def test_end_of_a_named_rate_admits_what_waits():
+    gate = limited_gate(1.0)
+    served = []
+    serve(gate, served)
+    waiting = gevent.spawn(serve, gate, served, wait_ms=1_000)
+    gevent.sleep(0.01)
+    gate.note_rate(float('inf'), monotonic_ms() + 1)
+    waiting.join(0.1)
+    assert len(served) == 2
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -1,3 +1,5 @@
+from types import SimpleNamespace
+
 import pytest
 
 from damasklanding.errors import DamasklandingError
@@ -154,3 +156,32 @@
     assert lines[0] == 'GET /leny950/2f HTTP/1.1'
     assert 'damasklanding-expected-instance: i-1' in lines
     assert 'damasklanding-deadline-ms: 740' in lines
+
+
+@pytest.mark.parametrize(
+    ('value', 'rate_per_s'),
+    [
+        ('28.4', 28.4),
+        ('0', 0.0),
+        ('28.400000000000002', 28.400000000000002),
+        ('-1', None),
+        ('nan', None),
+        ('inf', None),
+        ('1e3', None),
+        ('', None),
+        ('10,4', None),
+        ('9' * 400, None),
+        ('1.' + '0' * 400, None),
+        ('\u0661', None),
+    ],
+)
+def test_limit_is_read_only_from_a_plain_decimal_number(value, rate_per_s):
+    reply = SimpleNamespace(status=200, header_map={'server-limit': value})
+    notice = BACKEND_DIALECT.read_notice(reply)
+    assert notice.rate_per_s == rate_per_s
+
+
+def test_notice_of_another_instance_is_ignored():
+    header_map = {'server-limit': '1'}
+    reply = SimpleNamespace(status=421, header_map=header_map)
+    assert BACKEND_DIALECT.read_notice(reply) is None
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -218,3 +218,15 @@
         clock[0] += 10.0
     restarted = msgspec.structs.replace(FLEET[1], instance='i2')
     assert chosen(router, 100, [restarted, FLEET[2]])['near-1'] > 20
+
+
+def test_server_with_a_named_rate_is_used_only_while_it_admits_calls(router):
+    limited, other = backend('near-1'), backend('near-2')
+    report(router, 'near-2', running=5)
+    report(router, 'near-1', rate_per_s=10.0, wait_ms=40.0)
+    assert set(chosen(router, 50, [limited, other])) == {'near-2'}
+    report(router, 'near-1', rate_per_s=10.0)
+    assert 'near-1' in chosen(router, 50, [limited, other])
+    router.call_started('near-1')
+    picked = chosen(router, 50, [limited, other])
+    assert picked['near-1'] <= 5
