--- a/tests/test_platform_notices.py
+++ b/tests/test_platform_notices.py
@@ -2,6 +2,7 @@
 import time
 
 import gevent
+from platform_fleet import eventually
 from platform_fleet import platform_fleet
 import pytest
 
@@ -10,6 +11,7 @@
 WINDOW_S = 4.0
 #: Time after the first notice from which a named limit binds.
 STABLE_S = 3.0
+DRAIN_S = 2.0
 LIMIT_PER_S = 10.4
 
 
@@ -134,3 +136,40 @@
     assert statuses.count(200) >= 0.99 * len(statuses)
     arrivals_s = arrivals_since(limited, began_s)
     assert most_in_window(arrivals_s) <= allowed_in_window(LIMIT_PER_S)
+
+
+def test_leaving_server_gets_nothing_although_it_announces_itself(two_desks):
+    leaving = two_desks.backends[0]
+    leaving.notices = ['Server-Leaving: 1']
+    began_s = time.monotonic()
+    statuses = ask(two_desks, [0, 1, 2], 60, 6)
+    assert not arrivals_since(leaving, began_s + DRAIN_S)
+    assert statuses.count(200) >= 0.99 * len(statuses)
+
+
+def test_leaving_server_gets_nothing_from_those_told_after_its_node_restarts(
+    two_desks,
+):
+    leaving = two_desks.backends[0]
+    record_arrivals(leaving, work_s=0.2)
+    leaving.notices = ['Server-Leaving: 1']
+    ask(two_desks, [2, 3], 60, 2)
+    told = {int(request_id[0]) for _, request_id in leaving.arrivals}
+    assert told
+    restart_node(two_desks, 0)
+    eventually(lambda: two_desks.announce(0) == 200)
+    leaving.arrivals.clear()
+    statuses = ask(two_desks, sorted(told), 40, 5)
+    assert not leaving.arrivals
+    assert statuses.count(200) >= 0.99 * len(statuses)
+
+
+def test_next_start_of_a_server_that_left_is_used(two_desks):
+    desk = two_desks.backends[0]
+    desk.notices = ['Server-Leaving: 1']
+    ask(two_desks, [0, 1, 2], 40, 2)
+    desk.notices = []
+    desk.born += 1
+    assert two_desks.announce(0) == 200
+    desk.arrivals.clear()
+    eventually(lambda: ask(two_desks, [0, 2], 20, 0.5) and desk.arrivals, 5)
