--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -394,14 +394,14 @@
 
     def _expect_first_answer(self):
         if self._names_limits:
-            self._gate.server_rate.expect_first_answer()
+            self._gate.expect_first_answer()
 
     def _check_send(self, call):
         """Check a call just before it is sent to the backend server."""
         self._crashes.check(call)
-        was_sent = call.sent_ms is not None
-        if was_sent:
-            self._gate.server_rate.take()
+        is_resend = call.sent_ms is not None
+        if is_resend:
+            self._gate.note_resend()
 
     def _note_notice(self, call, notice):
         """Take what the backend server says of itself in an answer."""
--- a/damasklanding/policy/gate.py
+++ b/damasklanding/policy/gate.py
@@ -213,6 +213,14 @@
         if self.server_rate.rate_per_s > former_per_s:
             self._dispatch()
 
+    def expect_first_answer(self):
+        """Be careful until the backend server may have named a rate."""
+        self.server_rate.expect_first_answer()
+
+    def note_resend(self):
+        """Count a call that is sent to the backend server once more."""
+        self.server_rate.take()
+
     def drain(self):
         """Refuse new calls; calls that wait or run continue."""
         self.draining = True
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -238,6 +238,7 @@
 
     def __init__(self, slots=50):
         self.results = []
+        self.resends = 0
         self.draining = False
         self.set_slots(slots)
 
@@ -262,6 +263,9 @@
     def announce(self, cold, slots=0, cold_for_ms=0):
         self.announced = (cold, slots)
 
+    def note_resend(self):
+        self.resends += 1
+
     def drain(self):
         self.draining = True
 
