--- a/damasklanding/fleet/resources.py
+++ b/damasklanding/fleet/resources.py
@@ -207,6 +207,8 @@
     :ivar held_out: whether an operator has drained it.
     :ivar cold_start: whether it announced itself as cold when it last joined.
     :ivar slots: announced concurrency limit, 0 if unknown.
+    :ivar start: id of the present start of the backend server, empty if it
+        names none.
     """
 
     instance: str
@@ -217,6 +219,7 @@
     held_out: bool = False
     cold_start: bool = True
     slots: int = 0
+    start: str = ''
 
 
 class BudgetShard(Resource, frozen=True, kw_only=True):
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -147,6 +147,7 @@
         self._announced = None
         self._start = ''
         self._started_ms = float('-inf')
+        self._leaving_start = ''
         self._planned_stop = PlannedStop(view.now_ms, metrics)
         self._on_announce = on_announce
         self._metrics = metrics
@@ -205,7 +206,7 @@
         self._names_limits = backend_dialect.read_notice is not read_no_notice
         self._expect_first_answer()
         self.load_report_cache = load_report_cache = LoadReportCache(
-            gate.load, now_ms
+            self._load_report, now_ms
         )
         peers = PeerCaller(pool, now_ms)
         forwarder = Forwarder(
@@ -366,6 +367,8 @@
         """Take an announcement of the backend server beside this node."""
         if announcement.start != self._start:
             self._switch_start(announcement.start)
+        if self._leaving_start and announcement.start == self._leaving_start:
+            announcement = replace(announcement, state='draining')
         if announcement != self._announced:
             self._announced = announcement
             self._crashes.announce(announcement)
@@ -390,6 +393,7 @@
         """Forget what an earlier start of the backend server has said."""
         self._start = start
         self._started_ms = self._now_ms()
+        self._leaving_start = ''
         self._expect_first_answer()
 
     def _expect_first_answer(self):
@@ -409,6 +413,29 @@
             return
         if notice.rate_per_s is not None:
             self._gate.note_rate(notice.rate_per_s, call.sent_ms)
+        if notice.leaving and self._start != self._leaving_start:
+            self._take_leave()
+
+    def _take_leave(self):
+        """
+        Send nothing more to the present start of the backend server.
+
+        What gets no requests gives no answers, so that nothing could tell
+        that it stays after all: this holds until it starts again.
+        """
+        logger.info('the backend server {} says that it leaves', self._start)
+        self._leaving_start = self._start
+        self._gate.drain()
+        self.load_report_cache.expire()
+        if self._announced is not None:
+            self._announced = replace(self._announced, state='draining')
+            self._crashes.announce(self._announced)
+            self._on_announce(self._announced)
+
+    def _load_report(self):
+        report = self._gate.load()
+        report.leaving_start = self._leaving_start
+        return report
 
     def _on_crash(self):
         self._upstream.close()
--- a/damasklanding/node/dialect.py
+++ b/damasklanding/node/dialect.py
@@ -84,9 +84,11 @@
 
     :ivar rate_per_s: requests a second that it takes from all hosts together,
         infinite where it names no limit, None where the limit can't be read.
+    :ivar leaving: whether it takes no new work any more.
     """
 
     rate_per_s: float | None = float('inf')
+    leaving: bool = False
 
 
 def read_no_notice(_reply):
--- a/damasklanding/node/load_report.py
+++ b/damasklanding/node/load_report.py
@@ -38,6 +38,10 @@
             self._encoded = None
         return self._report
 
+    def expire(self):
+        """Make the next report anew."""
+        self._made_ms = float('-inf')
+
     def encoded(self):
         """Return the same as :meth:`report`, in bytes."""
         report = self.report()
--- a/damasklanding/node/registration.py
+++ b/damasklanding/node/registration.py
@@ -122,6 +122,7 @@
             state=state,
             cold_start=announced.cold,
             slots=announced.slots,
+            start=announced.start,
         )
 
     def is_current(self):
--- a/damasklanding/platform/headers.py
+++ b/damasklanding/platform/headers.py
@@ -29,6 +29,7 @@
 ORGANISATION = 'damasklanding-tenant'
 NOT_EXECUTED = 'damasklanding-not-executed'
 SERVER_LIMIT = 'server-limit'
+SERVER_LEAVING = 'server-leaving'
 KEY = 'authorization'
 KEY_SCHEME = 'token '
 
@@ -172,10 +173,11 @@
     if reply.status == MISDIRECTED_STATUS:
         return None
     named = reply.header_map.get(SERVER_LIMIT)
+    leaving = reply.header_map.get(SERVER_LEAVING) == '1'
     if named is None:
-        return BackendNotice()
+        return BackendNotice(leaving=leaving)
     rate_per_s = float(named) if _is_decimal(named) else None
-    return BackendNotice(rate_per_s)
+    return BackendNotice(rate_per_s, leaving)
 
 
 CALLER_DIALECT = CallerDialect(
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -74,6 +74,8 @@
 
     :ivar outstanding: calls sent that have not ended.
     :ivar sent_since_report: those sent after the last load report.
+    :ivar leaving_start: id of the start of the backend server that has said
+        that it leaves.
     :ivar report: last load report.
     :ivar reported_ms: time of that report.
     :ivar failure_points: sum over consecutive failures.
@@ -92,6 +94,7 @@
         'latency_ms',
         'outstanding',
         'failure_points',
+        'leaving_start',
         'report',
         'reported_ms',
         'rated_ms',
@@ -102,6 +105,7 @@
     def __init__(self):
         self.outstanding = 0
         self.sent_since_report = 0
+        self.leaving_start = ''
         self.report = _UNKNOWN
         self.reported_ms = float('-inf')
         self.failure_points = 0
@@ -253,6 +257,8 @@
             if candidate is None or candidate.backend is not backend:
                 candidate = self._add_candidate(backend, candidate)
             stats = candidate.stats
+            if stats.leaving_start and backend.start == stats.leaving_start:
+                continue
             if now_ms - stats.reported_ms > REPORT_MAX_AGE_MS:
                 stats.report = _UNKNOWN
             if not stats.report.draining:
@@ -304,6 +310,9 @@
         stats.report = report
         stats.reported_ms = self._now_ms()
         stats.sent_since_report = 0
+        # Kept beyond the report: the node may restart and forget it.
+        if report.leaving_start:
+            stats.leaving_start = report.leaving_start
 
     def _stats_of(self, name):
         stats = self._stats.get(name)
--- a/damasklanding/policy/types.py
+++ b/damasklanding/policy/types.py
@@ -76,6 +76,8 @@
     :ivar shed_below: importance below which most calls are refused now.
     :ivar rate_per_s: requests a second that the backend server takes from all
         hosts together, 0.0 if it names no limit.
+    :ivar leaving_start: id of the start of the backend server that has said
+        in an answer that it leaves, empty if none has.
     :ivar downstream: ``shed_below`` of overloaded services by name, as
         learned from downstream calls.
     """
@@ -91,6 +93,7 @@
     shed_below: int = 0
     downstream: dict[str, int] = {}
     rate_per_s: float = 0.0
+    leaving_start: str = ''
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -179,9 +179,18 @@
     reply = SimpleNamespace(status=200, header_map={'server-limit': value})
     notice = BACKEND_DIALECT.read_notice(reply)
     assert notice.rate_per_s == rate_per_s
+    assert not notice.leaving
 
 
 def test_notice_of_another_instance_is_ignored():
-    header_map = {'server-limit': '1'}
+    header_map = {'server-limit': '1', 'server-leaving': '1'}
     reply = SimpleNamespace(status=421, header_map=header_map)
     assert BACKEND_DIALECT.read_notice(reply) is None
+
+
+@pytest.mark.parametrize('status', [200, 500, 503])
+def test_every_other_answer_may_say_that_the_server_leaves(status):
+    reply = SimpleNamespace(status=status, header_map={'server-leaving': '1'})
+    notice = BACKEND_DIALECT.read_notice(reply)
+    assert notice.leaving
+    assert notice.rate_per_s == float('inf')
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -220,6 +220,22 @@
     assert chosen(router, 100, [restarted, FLEET[2]])['near-1'] > 20
 
 
+def test_server_that_said_it_leaves_gets_nothing_until_its_next_start(
+    router, clock
+):
+    leaving = backend('near-1', start='i-1@5')
+    other = backend('near-2', start='i-2@5')
+    report(router, 'near-1', leaving_start='i-1@5')
+    clock[0] += 60_000.0
+    report(router, 'near-1')
+    report(router, 'near-2', running=5)
+    restarted_node = msgspec.structs.replace(leaving, instance='another')
+    assert set(chosen(router, 50, [restarted_node, other])) == {'near-2'}
+    assert not router.has_usable([restarted_node])
+    next_start = msgspec.structs.replace(leaving, start='i-1@6')
+    assert 'near-1' in chosen(router, 50, [next_start, other])
+
+
 def test_server_with_a_named_rate_is_used_only_while_it_admits_calls(router):
     limited, other = backend('near-1'), backend('near-2')
     report(router, 'near-2', running=5)
