--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -373,6 +373,12 @@
             return 'this node has no configuration yet'
         return ''
 
+    def may_have_service(self, name):
+        """Return whether the configuration has a service, as far as known."""
+        if self.view.configuration() is None:
+            return True
+        return self.view.state.get('service', name) is not None
+
     def _owner_count(self):
         """Return the number of nodes; each owns some of the shards."""
         position = self.view.state.position()
--- a/damasklanding/interfaces.py
+++ b/damasklanding/interfaces.py
@@ -127,7 +127,9 @@
     from damasklanding.wsgi import wsgi_server
 
     settings = role.settings
-    presence = BackendPresence(settings.backend_address, role.node.announce)
+    presence = BackendPresence(
+        settings.backend_address, role.node.announce, role.may_have_service
+    )
     apps = (
         (settings.announce_address, announcement_app(presence)),
         (settings.readiness_address, readiness_app(role.not_ready)),
--- a/damasklanding/node/presence.py
+++ b/damasklanding/node/presence.py
@@ -8,11 +8,20 @@
 
 from dataclasses import dataclass
 
+from damasklanding.clock import wall_ms
 from damasklanding.errors import BadInput
 from damasklanding.node.registration import Announcement
 
 __all__ = ['BackendPresence', 'BackendReport']
 
+#: A start that lies further ahead of this host's clock is not believed.
+MAX_CLOCK_LEAD_MS = 60_000
+#: Largest step between the sequence numbers of two reports of one start for
+#: which the second one is believed by itself.
+MAX_SEQUENCE_STEP = 100
+#: Most reports a second that the first sequence number heard may stand for.
+MAX_REPORTS_PER_S = 10
+
 
 @dataclass(frozen=True, slots=True)
 class BackendReport:
@@ -42,19 +51,28 @@
     :param address: where it listens.
     :param announce: called with each
         :class:`~damasklanding.node.registration.Announcement`.
+    :param is_known_service: function of a service's name; returns whether the
+        configuration has it, or may have it.
     """
 
-    def __init__(self, address, announce):
+    def __init__(
+        self, address, announce, is_known_service=lambda _service: True
+    ):
         self._address = address
         self._announce = announce
+        self._is_known_service = is_known_service
         self._latest = None
         self._left = False
+        self._unbelieved_sequence = None
 
     def handle_report(self, report):
         """
         Take a report; one that is older than the latest changes nothing.
 
-        :raises BadInput: it is of another address.
+        Another writer may send a report in the name of a good backend server.
+        One that is far ahead would make all true ones look old.
+
+        :raises BadInput: it is of another address, or not believed.
         """
         if report.address != self._address:
             raise BadInput(
@@ -63,6 +81,7 @@
             )
         if not self._is_newer(report):
             return
+        self._require_plausible(report)
         self._latest = report
         self._left = False
         cold = report.cold_for_ms > 0
@@ -85,6 +104,7 @@
             return
         if started_at_ms and started_at_ms < latest.started_at_ms:
             return
+        _require_past(started_at_ms)
         self._left = True
         self._announce(
             Announcement(
@@ -96,6 +116,35 @@
             )
         )
 
+    def _require_plausible(self, report):
+        _require_past(report.started_at_ms)
+        latest = self._latest
+        if (
+            latest is not None
+            and self._is_known_service(latest.service)
+            and not self._is_known_service(report.service)
+        ):
+            raise BadInput('the configuration has no service of this name')
+        if self._continues_count(report):
+            self._unbelieved_sequence = None
+            return
+        # The next report is believed if it goes on from here.
+        self._unbelieved_sequence = report.sequence
+        raise BadInput('the sequence number is far ahead of the last one')
+
+    def _continues_count(self, report):
+        sequence = report.sequence
+        suspect = self._unbelieved_sequence
+        if suspect is not None and sequence > suspect:
+            return True
+        latest = self._latest
+        if latest is not None and _is_same_start(latest, report):
+            return sequence - latest.sequence <= MAX_SEQUENCE_STEP
+        if not report.started_at_ms:
+            return True
+        age_s = max(0, wall_ms() - report.started_at_ms) / 1000
+        return sequence <= MAX_SEQUENCE_STEP + MAX_REPORTS_PER_S * age_s
+
     def _is_newer(self, report):
         latest = self._latest
         if latest is None:
@@ -105,3 +154,15 @@
         if report.instance != latest.instance:
             return True
         return not self._left and report.sequence > latest.sequence
+
+
+def _is_same_start(one, other):
+    return (one.instance, one.started_at_ms) == (
+        other.instance,
+        other.started_at_ms,
+    )
+
+
+def _require_past(started_at_ms):
+    if started_at_ms > wall_ms() + MAX_CLOCK_LEAD_MS:
+        raise BadInput('the start lies in the future')
--- a/damasklanding/options.py
+++ b/damasklanding/options.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 import ipaddress
+from math import isfinite
 import re
 
 __all__ = [
@@ -121,12 +122,15 @@
     """
     Return the milliseconds of a text such as ``1500ms`` or ``2.5s``.
 
-    :raises ValueError: it is no number with one of these units.
+    :raises ValueError: it is no number with one of these units, or too large.
     """
     found = _DURATION(text)
     if found is None:
         raise ValueError('not a number with the unit ms or s')
-    return float(found[1]) * _UNITS_MS[found[2]]
+    duration_ms = float(found[1]) * _UNITS_MS[found[2]]
+    if not isfinite(duration_ms):
+        raise ValueError('too large a number')
+    return duration_ms
 
 
 def _within(convert, low, high, unit=''):
--- a/damasklanding/platform/announcements.py
+++ b/damasklanding/platform/announcements.py
@@ -5,10 +5,14 @@
 HTTP endpoint that takes the announcements of the local backend server.
 """
 
+import re
+from typing import Annotated
+
 import msgspec
 
 from damasklanding.errors import BadInput
 from damasklanding.errors import DamasklandingError
+from damasklanding.fleet.resources import Name
 from damasklanding.node.presence import BackendReport
 from damasklanding.options import parse_duration_ms
 
@@ -17,6 +21,14 @@
 PREFIX = '/instances/'
 JSON_TYPE = 'application/json'
 MAX_BODY_BYTES = 64 * 1024
+MAX_SLOTS = 100_000
+MAX_COLD_MS = 3_600_000
+#: Largest integer that every JSON decoder reads exactly.
+MAX_EXACT_INTEGER = 2**53 - 1
+_is_instance = re.compile(r'[A-Za-z0-9._~:-]{1,128}').fullmatch
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER)]
+#: What decoding raises for documents that cannot be read.
+_UNREADABLE = (msgspec.MsgspecError, ValueError, OverflowError, RecursionError)
 #: Whether a backend server in each platform state accepts new work.
 _STATES = {'ready': True, 'draining': False}
 
@@ -24,8 +36,8 @@
 class InfoDocument(msgspec.Struct, rename='camel'):
     """Properties that are constant while a backend server runs."""
 
-    service: str
-    max_concurrency: int
+    service: Name
+    max_concurrency: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 
 
 class StatusDocument(msgspec.Struct, rename='camel'):
@@ -37,7 +49,7 @@
     """
 
     state: str
-    sequence: int
+    sequence: _Count
     warmup_left: str = '0ms'
 
 
@@ -51,7 +63,7 @@
     address: str
     info: InfoDocument
     status: StatusDocument
-    born: int = 0
+    born: _Count = 0
 
 
 _decoder = msgspec.json.Decoder(AnnouncementDocument)
@@ -60,7 +72,7 @@
 class LeaveDocument(msgspec.Struct):
     """Optional body of a departure."""
 
-    born: int = 0
+    born: _Count = 0
 
 
 _leave_decoder = msgspec.json.Decoder(LeaveDocument)
@@ -77,13 +89,8 @@
         presence.handle_report(_report(instance, data))
 
     def delete(instance, data):
-        born = 0
-        if data:
-            try:
-                born = _leave_decoder.decode(data).born
-            except msgspec.MsgspecError:
-                # The path alone identifies the instance that leaves.
-                born = 0
+        # Without a body the path alone identifies the instance that leaves.
+        born = _decode(_leave_decoder, data).born if data else 0
         presence.record_departure(instance, born)
 
     actions = {'PUT': put, 'DELETE': delete}
@@ -97,7 +104,7 @@
         else:
             data = environ['wsgi.input'].read(MAX_BODY_BYTES)
             try:
-                action(path[len(PREFIX) :], data)
+                action(_parse_instance(path[len(PREFIX) :]), data)
             except DamasklandingError as error:
                 status = f'{error.http_status} Refused'
                 body = msgspec.json.encode(
@@ -113,24 +120,43 @@
     return app
 
 
-def _report(instance, data):
+def _parse_instance(text):
+    # The id is sent back to the backend server as the value of a header.
+    if not _is_instance(text):
+        raise BadInput('the path names no usable instance')
+    return text
+
+
+def _decode(decoder, data):
     try:
-        document = _decoder.decode(data)
-        cold_for_ms = parse_duration_ms(document.status.warmup_left)
-    except (msgspec.MsgspecError, ValueError) as error:
+        return decoder.decode(data)
+    except _UNREADABLE as error:
         raise BadInput(f'the announcement is malformed ({error})') from error
+
+
+def _parse_cold_ms(text):
+    try:
+        cold_for_ms = parse_duration_ms(text)
+    except ValueError as error:
+        raise BadInput(f'warmupLeft is {error}') from error
+    if cold_for_ms > MAX_COLD_MS:
+        raise BadInput(f'warmupLeft is over {MAX_COLD_MS} ms')
+    return round(cold_for_ms)
+
+
+def _report(instance, data):
+    document = _decode(_decoder, data)
+    cold_for_ms = _parse_cold_ms(document.status.warmup_left)
     in_service = _STATES.get(document.status.state)
     if in_service is None:
-        raise BadInput(f'the state is {document.status.state!r}')
-    if document.info.max_concurrency < 1 or not document.info.service:
-        raise BadInput('the announcement names no usable backend server')
+        raise BadInput('the state is neither ready nor draining')
     return BackendReport(
         instance=instance,
         address=document.address,
         service=document.info.service,
         in_service=in_service,
         slots=document.info.max_concurrency,
-        cold_for_ms=round(cold_for_ms),
+        cold_for_ms=cold_for_ms,
         started_at_ms=document.born,
         sequence=document.status.sequence,
     )
