--- a/damasklanding/platform/documents.py
+++ b/damasklanding/platform/documents.py
@@ -8,6 +8,7 @@
 
 import hashlib
 import re
+from typing import Annotated
 import zlib
 
 import msgspec
@@ -34,6 +35,10 @@
 #: Valid rate for unlimited organisations, for which it is not enforced.
 UNLIMITED_RATE_PER_S = 1.0
 
+MAX_NUMBER = 1_000_000_000
+_Integer = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+_Real = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+
 _match_version = re.compile(r'[0-9a-f]{8}').fullmatch
 
 
@@ -41,7 +46,7 @@
     """An entry of ``weightedServices``."""
 
     service: str
-    weight: float
+    weight: _Real
 
 
 class MatchDocument(msgspec.Struct, rename='camel'):
@@ -54,7 +59,7 @@
     """Where a rule sends requests."""
 
     timeout: str
-    max_attempts: int = 1
+    max_attempts: _Integer = 1
     service: str = ''
     weighted_services: list[WeightedServiceDocument] = []
 
@@ -71,7 +76,7 @@
     action: ActionDocument
     route_type: str
     target_latency: str = '1000ms'
-    priority: int = 0
+    priority: _Integer = 0
     public: bool = False
 
 
@@ -87,8 +92,8 @@
 
     name: str
     health_path: str = ''
-    max_connections: int = 0
-    warmup_per_s: float = 0.0
+    max_connections: _Integer = 0
+    warmup_per_s: _Real = 0.0
 
 
 class TenantDocument(msgspec.Struct, rename='camel'):
@@ -96,9 +101,9 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
-    rate_per_s: float = 0.0
-    burst: float = 0.0
+    priority: _Integer | None = None
+    rate_per_s: _Real = 0.0
+    burst: _Real = 0.0
 
 
 class LimitsDocument(msgspec.Struct, rename='camel'):
@@ -130,7 +135,7 @@
     try:
         document = _decoder.decode(data)
         return _build_command(document, data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, OverflowError, RecursionError) as error:
         raise BadInput(f'the document is malformed ({error})') from error
 
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -160,3 +160,36 @@
     for end in range(0, len(data) - 1, 37):
         with pytest.raises(BadInput):
             decode_configuration(data[:end])
+
+
+@pytest.mark.parametrize('value', [10**10, 10**30, 10**400, 1e300, -(10**400)])
+@pytest.mark.parametrize(
+    'place',
+    [
+        lambda d, v: rule_of(d)['action'].update(maxAttempts=v),
+        lambda d, v: rule_of(d)['action']['weightedServices'][0].update(
+            weight=v
+        ),
+        lambda d, v: rule_of(d).update(priority=v),
+        lambda d, v: d['tenants'][0].update(ratePerS=v),
+        lambda d, v: d['tenants'][0].update(burst=v),
+        lambda d, v: d['tenants'][0].update(priority=v),
+        lambda d, v: d['clusters'][0].update(maxConnections=v),
+        lambda d, v: d['clusters'][0].update(warmupPerS=v),
+    ],
+)
+def test_number_out_of_range_is_refused(place, value):
+    with pytest.raises(BadInput):
+        decoded(lambda document: place(document, value))
+
+
+def test_duration_of_many_digits_is_refused():
+    with pytest.raises(BadInput, match='idleTimeout'):
+        decoded(lambda d: d['limits'].update(idleTimeout='9' * 400 + 's'))
+
+
+def test_document_that_is_nested_deeply_is_refused():
+    data = json.dumps(DOCUMENT)[:-1] + ', "more": '
+    data += '[' * 200_000 + ']' * 200_000 + '}'
+    with pytest.raises(BadInput, match='malformed'):
+        decode_configuration(data.encode())
