--- a/damasklanding/telemetry.py
+++ b/damasklanding/telemetry.py
@@ -42,6 +42,7 @@
     cold: bool
     draining: bool
     shed_below: int
+    rate_per_s: float = 0.0
 
 
 class NodeTelemetry:
@@ -127,5 +128,6 @@
 
 def _node_load(load, age_ms):
     fields = msgspec.structs.asdict(load)
-    fields.pop('downstream')
+    for name in ('downstream', 'leaving_start'):
+        del fields[name]
     return NodeLoad(age_ms=age_ms, **fields)
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -248,11 +248,12 @@
 def test_status_shows_loads_and_what_is_out(app_and_fakes):
     app, host, _, telemetry = app_and_fakes
     host.put('data_centre', DataCentre(name='obihiro', out=True))
-    load = LoadReport(service='plan-office', limit=4, cold=True)
+    load = LoadReport('plan-office', limit=4, cold=True, rate_per_s=2.5)
     telemetry.receive('n1', 'i', NodeTelemetry(lambda: load).take())
     status = call(app, 'GET', '/v1/status').json
     assert status['control_host']['name'] == 'c1'
     assert status['loads']['n1']['cold'] is True
+    assert status['loads']['n1']['rate_per_s'] == 2.5
     assert status['data_centres_out'] == ['obihiro']
 
 
