--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -3,6 +3,11 @@
 from nodes import call
 from nodes import two_sites
 
+from damasklanding.fleet.resources import Change
+from damasklanding.fleet.resources import Route
+from damasklanding.fleet.resources import Service
+from damasklanding.policy.dependencies import MIN_FAILURES_IN_ROW
+
 
 def onward_call(nodes, name, path, **headers):
     address = nodes.sites[name].node.egress.bound_address
@@ -63,3 +68,25 @@
             address, '/damasklanding/announce', 'POST', b'{"a":1}', key=None
         )
         assert reply.status == 400
+
+
+def test_requests_that_need_a_service_without_servers_are_refused_unrun():
+    def answer(environ):
+        context = environ['HTTP_DAMASKLANDING_CONTEXT']
+        inner = onward_call(
+            nodes, 'server', '/ledger', damasklanding_context=context
+        )
+        return (200 if inner.status == 200 else 500), b''
+
+    route = Route(prefix='/ledger', profile='query', access='internal')
+    with two_sites(answer) as nodes:
+        ledger = Service(name='ledger', routes=(route,))
+        nodes.publish(Change.put('service', ledger))
+        entry = nodes.sites['entry']
+        server = nodes.sites['server'].backend_server
+        for _ in range(MIN_FAILURES_IN_ROW):
+            assert entry.call('/q').status == 500
+        reply = entry.call('/q')
+        assert (reply.status, reply.outcome) == (503, 'not-run')
+        assert 'retry-after' in reply.headers
+        assert len(server.seen) == MIN_FAILURES_IN_ROW
