--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -263,6 +263,12 @@
     def announce(self, cold, slots=0, cold_for_ms=0):
         self.announced = (cold, slots)
 
+    def expect_first_answer(self):
+        return None
+
+    def note_rate(self, rate_per_s, sent_ms):
+        self.rate_per_s = rate_per_s
+
     def note_resend(self):
         self.resends += 1
 
