--- a/damasklanding/platform/headers.py
+++ b/damasklanding/platform/headers.py
@@ -169,11 +169,16 @@
 
 
 def _read_notice(reply):
-    """Return the notice of the server that was asked, None of another."""
-    if reply.status == MISDIRECTED_STATUS:
+    """
+    Return the notice of the server that was asked, None of any other.
+
+    An answer that names no request may be a late one, of an earlier start.
+    """
+    header_map = reply.header_map
+    if reply.status == MISDIRECTED_STATUS or ATTEMPT_ID not in header_map:
         return None
-    named = reply.header_map.get(SERVER_LIMIT)
-    leaving = reply.header_map.get(SERVER_LEAVING) == '1'
+    named = header_map.get(SERVER_LIMIT)
+    leaving = header_map.get(SERVER_LEAVING) == '1'
     if named is None:
         return BackendNotice(leaving=leaving)
     rate_per_s = float(named) if _is_decimal(named) else None
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -158,6 +158,12 @@
     assert 'damasklanding-deadline-ms: 740' in lines
 
 
+def reply_with(status, **notices):
+    header_map = {f'server-{name}': text for name, text in notices.items()}
+    header_map['damasklanding-attempt-id'] = '9c41'
+    return SimpleNamespace(status=status, header_map=header_map)
+
+
 @pytest.mark.parametrize(
     ('value', 'rate_per_s'),
     [
@@ -176,21 +182,24 @@
     ],
 )
 def test_limit_is_read_only_from_a_plain_decimal_number(value, rate_per_s):
-    reply = SimpleNamespace(status=200, header_map={'server-limit': value})
-    notice = BACKEND_DIALECT.read_notice(reply)
+    notice = BACKEND_DIALECT.read_notice(reply_with(200, limit=value))
     assert notice.rate_per_s == rate_per_s
     assert not notice.leaving
 
 
 def test_notice_of_another_instance_is_ignored():
-    header_map = {'server-limit': '1', 'server-leaving': '1'}
-    reply = SimpleNamespace(status=421, header_map=header_map)
+    reply = reply_with(421, limit='1', leaving='1')
+    assert BACKEND_DIALECT.read_notice(reply) is None
+
+
+def test_notice_in_an_answer_that_names_no_request_is_ignored():
+    reply = reply_with(200, limit='1', leaving='1')
+    del reply.header_map['damasklanding-attempt-id']
     assert BACKEND_DIALECT.read_notice(reply) is None
 
 
 @pytest.mark.parametrize('status', [200, 500, 503])
 def test_every_other_answer_may_say_that_the_server_leaves(status):
-    reply = SimpleNamespace(status=status, header_map={'server-leaving': '1'})
-    notice = BACKEND_DIALECT.read_notice(reply)
+    notice = BACKEND_DIALECT.read_notice(reply_with(status, leaving='1'))
     assert notice.leaving
     assert notice.rate_per_s == float('inf')
