--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import replace
+from functools import partial
 import gc
 from itertools import count
 from random import Random
@@ -220,7 +221,10 @@
             metrics,
         )
         dependencies = DependencyCheck(
-            now_ms, forwarder.has_backend, _log_dependency
+            now_ms,
+            forwarder.has_backend,
+            partial(gevent.spawn, ensure_service),
+            _log_dependency,
         )
         self.egress = None
         if caller_dialect is not None:
--- a/damasklanding/node/calls.py
+++ b/damasklanding/node/calls.py
@@ -169,7 +169,8 @@
         """Record the answer to an onward call."""
         if answer.status < 500:
             self.answered_onward += 1
-        self.missing_services.update(answer.missing_services)
+        else:
+            self.missing_services.update(answer.missing_services)
 
     def record_failure(self, digest, may_retry):
         """Record an onward call that failed."""
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -139,8 +139,6 @@
 
     def _forward(self, call):
         answer = self._forwarder.forward(call)
-        for service in answer.missing_services:
-            self._ensure_watched(service)
         self._dependencies.note(
             call.service,
             call.profile,
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -186,8 +186,6 @@
         state.admitted = True
         self._ensure_watched(call.service)
         answer = self._forwarder.forward(call)
-        for service in answer.missing_services:
-            self._ensure_watched(service)
         self._dependencies.note(
             call.service,
             call.profile,
--- a/damasklanding/policy/dependencies.py
+++ b/damasklanding/policy/dependencies.py
@@ -55,14 +55,17 @@
     :param now_ms: function that returns the current time in milliseconds.
     :param has_backend: function of a service's name; returns whether one of
         its backend servers accepts calls.
+    :param watch_service: function of a service's name that makes its backend
+        servers known; must not block.
     :param on_change: function of a service, a profile, the names of the
         missing services and whether requests are refused from now on; called
         when that changes.
     """
 
-    def __init__(self, now_ms, has_backend, on_change):
+    def __init__(self, now_ms, has_backend, watch_service, on_change):
         self._now_ms = now_ms
         self._has_backend = has_backend
+        self._watch_service = watch_service
         self._on_change = on_change
         self._kinds = {}
 
@@ -111,6 +114,8 @@
         kind = self._kinds.get((service, profile))
         if kind is None:
             kind = self._kinds[service, profile] = _Kind()
+        for name in missing - kind.missing:
+            self._watch_service(name)
         kind.missing = missing
         kind.failures_in_row += 1
         if kind.failures_in_row == MIN_FAILURES_IN_ROW:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,4 +1,6 @@
+from damasklanding.node.answers import Answer
 from damasklanding.node.calls import CallTable
+from damasklanding.node.calls import RunningCall
 
 
 class CallFake:
@@ -29,3 +31,11 @@
     second = table.add(CallFake('9c41'), slot=None)
     table.remove(first)
     assert table.parent_of('9c41.1') is second
+
+
+def test_missing_service_is_passed_up_only_by_a_failed_call():
+    running = RunningCall(None, 't', None)
+    running.record_answer(Answer(200, [], missing_services=('ledger',)))
+    assert not running.missing_services
+    running.record_answer(Answer(500, [], missing_services=('ledger',)))
+    assert running.missing_services == {'ledger'}
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -15,9 +15,11 @@
         self.now_ms = 0.0
         self.available = set()
         self.changes = []
+        self.watched = []
         self.check = DependencyCheck(
             lambda: self.now_ms,
             self.available.__contains__,
+            self.watched.append,
             lambda *change: self.changes.append(change),
         )
 
@@ -75,6 +77,11 @@
         assert fixture.admits()
 
 
+def test_missing_service_is_watched_from_its_first_failure_on(fixture):
+    fixture.fail(3)
+    assert fixture.watched == ['ledger']
+
+
 def test_other_failures_refuse_nothing(fixture):
     for _ in range(3 * MIN_FAILURES_IN_ROW):
         fixture.check.note('desk', 'view', False, ())
