--- a/tests/test_notice_soak.py
+++ b/tests/test_notice_soak.py
@@ -94,6 +94,8 @@
             try:
                 if connection is None:
                     connection = http.client.HTTPConnection(ip, CALLER_PORT)
+                    # It would open a socket that blocks all greenlets.
+                    connection.auto_open = False
                     connection.sock = gsocket.create_connection(
                         (ip, CALLER_PORT), 1
                     )
