--- a/tests/test_notice_soak.py
+++ b/tests/test_notice_soak.py
@@ -116,7 +116,7 @@
         answer = connection.getresponse()
         answer.read()
         self.statuses.append(answer.status)
-        # The stand-in signs with the number of the notice that is open.
+        # The stand-in numbers its notices in a header of its own.
         number = answer.headers.get('Notice-Number')
         if number is not None:
             told_s = self.notices[int(number)].told_s
