--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -275,6 +275,7 @@
             seeds,
             random.Random(identity.instance),
             self.telemetry.take,
+            data_centre=settings.data_centre,
         )
         self.owner = BudgetOwner(
             self.view,
--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -282,6 +282,7 @@
             name=settings.name,
             peer_address=dict(settings.control_hosts).get(settings.name, own),
             admin_address=settings.admin_address,
+            data_centre=settings.data_centre,
         )
         envelope = Envelope(
             request_id='',
--- a/damasklanding/control/watch.py
+++ b/damasklanding/control/watch.py
@@ -8,14 +8,16 @@
 they have lost contact with the control hosts.
 """
 
-from collections import deque
 from dataclasses import dataclass
-from dataclasses import field
+from dataclasses import replace
 
+import gevent
 import msgspec
 
+from damasklanding.control.deltas import DeltaLog
+from damasklanding.control.deltas import Interest
+from damasklanding.fleet.packing import pack_changes
 from damasklanding.fleet.resources import Change
-from damasklanding.fleet.resources import encode_changes
 from damasklanding.messages import NEVER_CONFIRMED_AGE_MS
 from damasklanding.messages import Beat
 from damasklanding.messages import BeatReply
@@ -25,8 +27,10 @@
 
 __all__ = ['Watcher', 'WatcherStatus', 'WatchServer']
 
-MAX_KEPT_DELTAS = 4_096
 WATCHER_TIMEOUT_MS = 5_000
+#: The first change after a pause is sent at once; those that follow within
+#: this time are sent together.
+GATHER_MS = 100
 
 
 @dataclass
@@ -34,27 +38,20 @@
     """
     One connected watcher.
 
+    :ivar interest: backend servers that it is told of.
+    :ivar compressed: whether it reads compressed changes.
     :ivar revision: revision up to which changes have been sent.
     :ivar confirmed_revision: revision that the watcher last reported.
-    :ivar services: services whose backend servers the watcher subscribes to.
     """
 
-    name: str
     instance: str
     exchange: object
+    interest: Interest
+    compressed: bool
     revision: int
-    all_services: bool
-    services: set = field(default_factory=set)
     confirmed_revision: int = 0
     heard_ms: float = 0.0
 
-    def subscribes_to(self, kind, resource):
-        """Return whether the watcher receives a resource."""
-        if kind != 'backend' or self.all_services:
-            return True
-        # A node needs its own registration to know whether to renew it.
-        return resource.service in self.services or resource.name == self.name
-
 
 class WatcherStatus(msgspec.Struct, frozen=True, kw_only=True):
     """
@@ -70,31 +67,6 @@
     silent_ms: int
 
 
-class _Delta:
-    """
-    The changes of one revision, encoded once for watchers that get them all.
-
-    :ivar unfiltered: whether every watcher gets all of the changes.
-    """
-
-    __slots__ = ('_encoded', 'changes', 'unfiltered', 'revision', 'term')
-
-    def __init__(self, term, revision, changes):
-        self.term = term
-        self.revision = revision
-        self.changes = changes
-        self.unfiltered = all(change.kind != 'backend' for change in changes)
-        self._encoded = None
-
-    def encoded_for(self, watcher):
-        """Return the encoded changes that a watcher gets."""
-        if not (self.unfiltered or watcher.all_services):
-            return encode_changes(_filter_changes(self.changes, watcher))
-        if self._encoded is None:
-            self._encoded = encode_changes(self.changes)
-        return self._encoded
-
-
 class _Wake:
     """Wakes a watcher's greenlet because there are further changes."""
 
@@ -119,8 +91,8 @@
         self._view = view
         self._on_heartbeat = on_heartbeat
         self._watchers = {}
-        self._deltas = deque(maxlen=MAX_KEPT_DELTAS)
-        self._first_revision = view.state.revision
+        self._deltas = DeltaLog(view.state)
+        self._gathering = False
         view.subscribe(self._append_delta)
 
     def handlers(self):
@@ -132,7 +104,7 @@
         now_ms = self._view.now_ms()
         return [
             WatcherStatus(
-                name=watcher.name,
+                name=watcher.interest.name,
                 instance=watcher.instance,
                 revision=watcher.confirmed_revision,
                 silent_ms=int(now_ms - watcher.heard_ms),
@@ -142,13 +114,18 @@
 
     def serve(self, exchange, message):
         """Serve one watcher until its exchange ends."""
+        if message.hosts_only:
+            return self._control_hosts()
         watcher = Watcher(
-            message.name,
             message.instance,
             exchange,
+            Interest(
+                message.name,
+                frozenset(message.services),
+                message.all_services,
+            ),
+            message.compressed,
             message.revision,
-            message.all_services,
-            set(message.services),
             message.revision,
             self._view.now_ms(),
         )
@@ -163,52 +140,67 @@
         finally:
             self._watchers.pop(id(exchange), None)
 
+    def _control_hosts(self):
+        """Return the control hosts as a snapshot that has no revision."""
+        hosts = self._view.state.all('control_host').values()
+        changes = [Change.put('control_host', host) for host in hosts]
+        data, compressed = pack_changes(changes, compressed=True)
+        return WatchSnapshot(0, 0, data, compressed=compressed)
+
     def _append_delta(self, changes):
-        state = self._view.state
-        last = self._deltas[-1].revision if self._deltas else None
-        if state.revision == last or not changes:
-            return
-        if len(self._deltas) == MAX_KEPT_DELTAS:
-            self._first_revision = self._deltas[0].revision
-        self._deltas.append(_Delta(state.term, state.revision, changes))
+        if self._deltas.append(changes) and not self._gathering:
+            self._flush()
+
+    def _flush(self):
+        """Send what waits, and gather further changes for a while."""
+        self._gathering = True
+        self._wake_watchers()
+        gevent.spawn_later(
+            GATHER_MS / 1000, self._end_gathering, self._view.state.revision
+        )
+
+    def _end_gathering(self, sent_revision):
+        if self._view.state.revision == sent_revision:
+            self._gathering = False
+        else:
+            self._flush()
+
+    def _wake_watchers(self):
         for watcher in self._watchers.values():
             watcher.exchange.deliver(_WAKE)
 
     def _start(self, watcher):
-        if watcher.revision and watcher.revision >= self._first_revision:
+        if self._deltas.reaches_back_to(watcher.revision):
             self._send_deltas(watcher)
         elif self._view.state.revision > watcher.revision:
             self._send_snapshot(watcher)
 
     def _send_snapshot(self, watcher):
         state = self._view.state
-        changes = state.snapshot(watcher.subscribes_to)
+        changes = state.snapshot(watcher.interest.includes)
         watcher.revision = state.revision
+        data, compressed = pack_changes(changes, watcher.compressed)
         watcher.exchange.send(
-            WatchSnapshot(state.term, state.revision, encode_changes(changes))
+            WatchSnapshot(
+                state.term, state.revision, data, compressed=compressed
+            )
         )
 
     def _send_deltas(self, watcher):
-        pending = []
-        for delta in reversed(self._deltas):
-            if delta.revision <= watcher.revision:
-                break
-            pending.append(delta)
-        if not pending:
-            return
-        pending.reverse()
-        last = pending[-1]
-        watcher.revision = last.revision
-        watcher.exchange.send(
-            WatchDelta(
-                last.term, last.revision, _encoded_for(watcher, pending)
-            )
+        sent = self._deltas.since(
+            watcher.revision, watcher.interest, watcher.compressed
         )
+        if sent is not None:
+            delta = WatchDelta(*sent)
+            watcher.revision = delta.revision
+            watcher.exchange.send(delta)
 
     def _answer_heartbeat(self, watcher, beat):
         watcher.heard_ms = self._view.now_ms()
         watcher.confirmed_revision = beat.revision
-        self._on_heartbeat(watcher.name, watcher.instance, beat.status)
+        self._on_heartbeat(
+            watcher.interest.name, watcher.instance, beat.status
+        )
         for service in beat.services:
             self._add_service(watcher, service)
         state = self._view.state
@@ -222,37 +214,18 @@
         )
 
     def _add_service(self, watcher, service):
-        watcher.services.add(service)
+        interest = watcher.interest
+        watcher.interest = replace(
+            interest, services=interest.services | {service}
+        )
         state = self._view.state
         changes = [
             Change.put('backend', backend)
             for backend in self._view.backends(service)
         ]
+        data, compressed = pack_changes(changes, watcher.compressed)
         watcher.exchange.send(
             WatchSnapshot(
-                state.term, state.revision, encode_changes(changes), service
+                state.term, state.revision, data, service, compressed
             )
         )
-
-
-def _encoded_for(watcher, deltas):
-    """Return the changes of consecutive deltas for a watcher, encoded."""
-    if len(deltas) == 1:
-        return deltas[0].encoded_for(watcher)
-    changes = [change for delta in deltas for change in delta.changes]
-    return encode_changes(_filter_changes(changes, watcher))
-
-
-def _filter_changes(changes, watcher):
-    filtered = []
-    for change in changes:
-        if change.kind == 'backend' and not watcher.all_services:
-            resource = change.resource()
-            if resource is not None and not watcher.subscribes_to(
-                'backend', resource
-            ):
-                # The backend may have left a service that the watcher
-                # subscribes to, so the watcher is told to remove it.
-                change = Change('backend', change.name)
-        filtered.append(change)
-    return filtered
--- a/damasklanding/fleet/resources.py
+++ b/damasklanding/fleet/resources.py
@@ -244,10 +244,12 @@
 
     :ivar peer_address: listener for nodes and other control hosts.
     :ivar admin_address: listener of the administration API.
+    :ivar data_centre: data centre that it stands in, empty if unknown.
     """
 
     peer_address: Address
     admin_address: str = ''
+    data_centre: str = ''
 
 
 KINDS = {
--- a/damasklanding/messages.capnp
+++ b/damasklanding/messages.capnp
@@ -176,6 +176,8 @@
   revision @3 :UInt64;
   services @4 :List(Text);
   allServices @5 :Bool;
+  compressed @6 :Bool;      # whether compressed changes are understood
+  hostsOnly @7 :Bool;       # asks for the list of control hosts alone
 }
 
 struct WatchSnapshot {
@@ -183,12 +185,14 @@
   revision @1 :UInt64;
   changes @2 :Data;
   service @3 :Text;         # set if it holds the servers of one service only
+  compressed @4 :Bool;
 }
 
 struct WatchDelta {
   term @0 :UInt64;
   revision @1 :UInt64;
   changes @2 :Data;
+  compressed @3 :Bool;
 }
 
 struct Beat {
--- a/damasklanding/messages.py
+++ b/damasklanding/messages.py
@@ -18,6 +18,7 @@
     'Beat',
     'BeatReply',
     'BodyChunk',
+    'CONTROL_HOSTS_LEVEL',
     'CallAnswer',
     'CallRequest',
     'Cancel',
@@ -63,8 +64,9 @@
 #: Counts the additions of messages within a protocol version.  A process
 #: closes a link that brings a message which it does not know, so each end
 #: tells its level in the handshake.
-MESSAGE_LEVEL = 1
+MESSAGE_LEVEL = 2
 CRASH_NEWS_LEVEL = 1  # from which on CrashNews is understood
+CONTROL_HOSTS_LEVEL = 2  # from which on a Watch may ask for hosts only
 
 #: Message classes by the name of their union member.
 MESSAGES = {}
@@ -429,6 +431,8 @@
 
     :ivar services: services whose backend servers are to be sent.
     :ivar all_services: whether to send the backend servers of all services.
+    :ivar compressed: whether the watcher reads compressed changes.
+    :ivar hosts_only: whether to send nothing but the control hosts, once.
     """
 
     name: str
@@ -437,6 +441,8 @@
     revision: int
     services: list[str] = field(default_factory=list)
     all_services: bool = False
+    compressed: bool = False
+    hosts_only: bool = False
 
 
 @message('watchSnapshot')
@@ -447,6 +453,7 @@
     revision: int
     changes: bytes
     service: str = ''
+    compressed: bool = False
 
 
 @message('watchDelta')
@@ -456,6 +463,7 @@
     term: int
     revision: int
     changes: bytes
+    compressed: bool = False
 
 
 @message('beat')
--- a/damasklanding/node/watch.py
+++ b/damasklanding/node/watch.py
@@ -8,25 +8,32 @@
 A relay knows only the backend servers of the services that it follows itself.
 What it says about backend servers is added to the view, but nothing is removed
 from it, and the next control host sends a snapshot of everything.
+
+A control host in the own data centre is preferred.  A node without any state
+asks a distant one only for the list of control hosts, and a node that follows
+a distant one leaves it as soon as a near one can be reached.
 """
 
 from functools import partial
 
 import gevent
 from gevent.event import Event
+import msgspec
 
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import LinkClosed
 from damasklanding.errors import LinkTimeout
+from damasklanding.fleet.packing import unpack_changes
 from damasklanding.fleet.resources import Change
-from damasklanding.fleet.resources import decode_changes
 from damasklanding.logs import StateLog
+from damasklanding.messages import CONTROL_HOSTS_LEVEL
 from damasklanding.messages import NEVER_CONFIRMED_AGE_MS
 from damasklanding.messages import Beat
 from damasklanding.messages import BeatReply
 from damasklanding.messages import Watch
 from damasklanding.messages import WatchDelta
 from damasklanding.messages import WatchSnapshot
+from damasklanding.node.sources import WatchSources
 
 __all__ = ['WatchClient']
 
@@ -37,7 +44,7 @@
 REPLY_LIMIT_MS = 900
 #: A host on the way answers a connection within milliseconds.
 OPEN_LIMIT_MS = 350
-SHUNNED_MS = 3_000  # a source that failed is tried after the others
+HOSTS_LIMIT_MS = 350  # for the list of control hosts
 STALE_SOURCE_MS = 1_500  # a source whose proof is older is left
 RELAY_TURN_MS = 3_000  # a relay is left for a control host after this
 #: A relay is left after this while the view lacks the backend servers of a
@@ -51,6 +58,10 @@
     """A source answers, but has no recent proof that it is current."""
 
 
+class _NearerSource(LinkClosed):
+    """A control host in the own data centre can be followed instead."""
+
+
 class WatchClient:
     """
     Follows the configuration and proves it fresh.
@@ -63,6 +74,10 @@
     :param random: ``random.Random``, spreads the nodes over the sources.
     :param take_status: returns the bytes that each heartbeat carries.
     :param all_services: whether to learn of every backend server at once.
+    :param data_centre: own data centre, empty if sources have no distance.
+
+    :ivar sources: :class:`~damasklanding.node.sources.WatchSources`.
+    :ivar source: name of the source that is followed, empty if there is none.
     """
 
     def __init__(
@@ -74,12 +89,15 @@
         random,
         take_status=bytes,
         all_services=False,
+        data_centre='',
     ):
         self._view = view
         self._pool = pool
         self._identity = identity
-        self._control_hosts = control_hosts
         self._random = random
+        self.sources = WatchSources(
+            view, identity.name, data_centre, control_hosts, random
+        )
         self._take_status = take_status
         self._all_services = all_services
         self._services = {}
@@ -87,7 +105,7 @@
         self._greenlet = None
         self._seq = 0
         self._sent_ms = {}
-        self._failed_ms = {}
+        self._probe = None
         self._needs_snapshot = False
         self._log = StateLog()
         self.source = ''
@@ -98,8 +116,9 @@
 
     def stop(self):
         """Stop following."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        for greenlet in (self._greenlet, self._probe):
+            if greenlet is not None:
+                greenlet.kill()
 
     def ensure_service(self, service, timeout_ms=WANT_TIMEOUT_MS):
         """Learn of a service's backend servers, and wait until known."""
@@ -112,37 +131,9 @@
         if not known.is_set():
             known.wait(timeout_ms / 1000)
 
-    def sources(self):
-        """Return addresses to try: control hosts, then other nodes."""
-        relays = [
-            backend.peer_address
-            for backend in self._view.state.all('backend').values()
-            if backend.name != self._identity.name
-        ]
-        relays += [
-            shard.peer_address
-            for shard in self._view.state.all('budget_shard').values()
-            if shard.owner and shard.owner != self._identity.name
-        ]
-        relays = sorted(set(relays))
-        self._random.shuffle(relays)
-        control = [address for _, address in self._control_hosts()]
-        control += [
-            host.peer_address
-            for host in self._view.state.all('control_host').values()
-            if host.peer_address not in control
-        ]
-        # In another order each time, so that the nodes spread.
-        self._random.shuffle(control)
-        return sorted(control, key=self._is_shunned) + relays[:3]
-
-    def _is_shunned(self, address):
-        failed_ms = self._failed_ms.get(address, float('-inf'))
-        return self._view.now_ms() - failed_ms < SHUNNED_MS
-
     def _run(self):
         while True:
-            for address in self.sources():
+            for address in self.sources.ordered():
                 if self._try(address):
                     # Others may have joined or failed meanwhile.
                     break
@@ -154,25 +145,21 @@
             self._follow(address)
         except _StaleSource:
             # A source that answers may become current at any time, a control
-            # host with the next election, so it is not shunned.
+            # host with the next election, so it comes before those that
+            # failed.
             self._exchange = None
-        except DamasklandingError as error:
+            self.sources.note_stale(address)
+        except _NearerSource:
             self._exchange = None
-            self._shun(address)
-            self._log.note('configuration', 'not followed', error.problem)
+        except (DamasklandingError, msgspec.MsgspecError) as error:
+            self._exchange = None
+            self.sources.note_failed(address)
+            self._log.note('configuration', 'not followed', str(error))
         followed = bool(self.source)
         self.source = ''
         gevent.sleep(RETRY_MS / 1000 * self._random.uniform(0.5, 1))
         return followed
 
-    def _shun(self, address):
-        self._failed_ms = {
-            known: failed_ms
-            for known, failed_ms in self._failed_ms.items()
-            if self._is_shunned(known)
-        }
-        self._failed_ms[address] = self._view.now_ms()
-
     def _unknown_services(self):
         """Return the services for which no control host has answered."""
         return [
@@ -182,11 +169,12 @@
         ]
 
     def _follow(self, address):
-        lost = LinkTimeout(f'{address} opened no link in time')
-        with gevent.Timeout(OPEN_LIMIT_MS / 1000, lost):
+        with gevent.Timeout(OPEN_LIMIT_MS / 1000, _slow_open(address)):
             link = self._pool.get(address)
         state = self._view.state
         is_control = link.peer.role == 'control'
+        if is_control and not state.revision:
+            self._look_for_nearer(address, link)
         services = list(self._services)
         message = Watch(
             self._identity.name,
@@ -195,6 +183,7 @@
             0 if is_control and self._needs_snapshot else state.revision,
             services,
             self._all_services,
+            compressed=True,
         )
         self._sent_ms.clear()
         with link.exchange(message) as exchange:
@@ -203,15 +192,56 @@
             take = partial(self._take, services)
             if not is_control:
                 take = self._add_relayed
-            self._follow_exchange(exchange, take, is_control)
+            self._follow_exchange(exchange, take, is_control, address)
+
+    def _look_for_nearer(self, address, link):
+        """
+        Learn of the control hosts before the whole state is asked for.
+
+        :raises _NearerSource: one of them is near, this one is not.
+        """
+        if link.peer.level < CONTROL_HOSTS_LEVEL:
+            return
+        identity = self._identity
+        request = Watch(identity.name, identity.instance, 0, 0)
+        request.hosts_only = True
+        changes = unpack_changes(link.request(request, HOSTS_LIMIT_MS))
+        self._view.merge([c for c in changes if c.kind == 'control_host'])
+        if self.sources.nearest() and not self.sources.is_near(address):
+            raise _NearerSource(f'{link.peer.name} is not the nearest source')
 
-    def _follow_exchange(self, exchange, take, is_control):
+    def _check_nearer(self, address):
+        """
+        Look for a reachable control host in the own data centre.
+
+        :param address: address of the source that is followed.
+        :raises _NearerSource: there is one.
+        """
+        near = self.sources.nearest()
+        if near is None or near == address or self.sources.is_near(address):
+            return
+        if self._pool.peek(near) is not None:
+            raise _NearerSource(f'a source nearer than {address} is known')
+        if self._probe is None or self._probe.ready():
+            self._probe = gevent.spawn(self._open_link, near)
+
+    def _open_link(self, address):
+        """Open a link that is used later; a failure is noted."""
+        try:
+            with gevent.Timeout(OPEN_LIMIT_MS / 1000, _slow_open(address)):
+                self._pool.get(address)
+        except DamasklandingError:
+            self.sources.note_failed(address)
+
+    def _follow_exchange(self, exchange, take, is_control, address):
         now_ms = self._view.now_ms
         started_ms = answered_ms = now_ms()
         due_ms = 0.0
         while True:
             now = now_ms()
             if now >= due_ms:
+                if is_control:
+                    self._check_nearer(address)
                 self._beat(self._unknown_services())
                 due_ms = now + BEAT_MS
             if now - answered_ms > REPLY_LIMIT_MS:
@@ -262,7 +292,7 @@
         if type(message) is WatchSnapshot:
             self._take_snapshot(services, message)
         elif type(message) is WatchDelta:
-            changes = decode_changes(message.changes)
+            changes = unpack_changes(message)
             self._view.apply(message.term, message.revision, changes)
 
     def _take_snapshot(self, services, message):
@@ -271,7 +301,7 @@
             if not message.service:
                 raise _StaleSource(f'{self.source} is behind')
             return  # the next heartbeat asks again
-        changes = decode_changes(message.changes)
+        changes = unpack_changes(message)
         if message.service:
             self._view.merge(changes)
             services = [message.service]
@@ -291,7 +321,7 @@
         view = self._view
         changes = [
             change
-            for change in decode_changes(message.changes)
+            for change in unpack_changes(message)
             if change.kind != 'backend' or change.resource() is not None
         ]
         position = message.term, message.revision
@@ -321,3 +351,7 @@
         if message.age_ms > STALE_SOURCE_MS:
             raise _StaleSource(f'{self.source} has no fresh state')
         self._log.note('configuration', f'follows {self.source}')
+
+
+def _slow_open(address):
+    return LinkTimeout(f'{address} opened no link in time')
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -3,10 +3,12 @@
 import gevent
 import msgspec
 
+from bench.relay import Relay
 from damasklanding.control.watch import WatchServer
 from damasklanding.fleet.resources import Backend
 from damasklanding.fleet.resources import BudgetShard
 from damasklanding.fleet.resources import Change
+from damasklanding.fleet.resources import ControlHost
 from damasklanding.fleet.resources import DataCentre
 from damasklanding.link import Identity
 from damasklanding.linkpool import LinkPool
@@ -34,6 +36,7 @@
 
 class Source:
     def __init__(self, name='host-a', role='control', view=None):
+        self.name = name
         self.view = view or FleetView()
         self.beats = []
         self.watch = WatchServer(self.view, lambda *a: self.beats.append(a))
@@ -263,7 +266,7 @@
     client, view = follow(relay.address)
     wait_for(lambda: client.source == 'node-b')
     client.ensure_service('desk', timeout_ms=50)
-    client._control_hosts = lambda: [(source.address, source.address)]
+    client.sources._control_hosts = lambda: [(source.address, source.address)]
     wait_for(lambda: names(view, 'desk') == ['n1'])
     for item in (client, relay_client):
         item.stop()
@@ -287,7 +290,7 @@
     source.view.apply(1, 3, [Change.put('backend', moved)])
     wait_for(lambda: view.state.revision == 3)
     assert names(view, 'desk') == ['n1']
-    client._control_hosts = lambda: [(source.address, source.address)]
+    client.sources._control_hosts = lambda: [(source.address, source.address)]
     wait_for(lambda: view.backends('desk')[0].instance == 'i2')
     for item in (client, relay_client):
         item.stop()
@@ -302,7 +305,7 @@
     wait_for(lambda: len(source.beats) > 1)
     shard = BudgetShard(name='s', owner='n1', peer_address='127.0.0.1:1')
     view.merge([Change.put('budget_shard', shard)])
-    assert client.sources() == [source.address, '127.0.0.1:1']
+    assert client.sources.ordered() == [source.address, '127.0.0.1:1']
     client.stop()
     source.server.stop()
 
@@ -355,8 +358,202 @@
         lambda: [('a', 'a'), ('b', 'b'), ('c', 'c')],
         random.Random(1),
     )
-    client._failed_ms['b'] = 0.0
+    client.sources.note_failed('b')
     for _ in range(20):
-        assert client.sources()[-1] == 'b'
+        assert client.sources.ordered()[-1] == 'b'
     clock[0] = 10_000.0
-    assert any(client.sources()[-1] != 'b' for _ in range(20))
+    assert any(client.sources.ordered()[-1] != 'b' for _ in range(20))
+
+
+def put_host(source, data_centre):
+    host = ControlHost(
+        name=source.name,
+        peer_address=source.address,
+        data_centre=data_centre,
+    )
+    return Change.put('control_host', host)
+
+
+def two_centres(resources=()):
+    """Return a near and a far source that list each other."""
+    near, far = Source('host-near'), Source('host-far')
+    changes = [put_host(near, 'dc-a'), put_host(far, 'dc-b'), *resources]
+    for source in (near, far):
+        source.view.apply(1, 2, changes)
+        source.fresh()
+    return near, far
+
+
+def snapshots_of(source):
+    """Return the list to which each whole snapshot of a source is added."""
+    sent = []
+    send_snapshot = source.watch._send_snapshot
+
+    def note(watcher):
+        sent.append(watcher)
+        send_snapshot(watcher)
+
+    source.watch._send_snapshot = note
+    return sent
+
+
+def test_first_state_comes_from_the_own_data_centre():
+    near, far = two_centres()
+    far_snapshots = snapshots_of(far)
+    client, view = follow(far.address, data_centre='dc-a')
+    wait_for(lambda: view.state.revision == 2)
+    assert client.source == 'host-near'
+    assert far_snapshots == []
+    client.stop()
+    near.server.stop()
+    far.server.stop()
+
+
+def test_distant_source_is_left_once_a_near_one_is_known():
+    near, far = Source('host-near'), Source('host-far')
+    for source in (near, far):
+        source.fresh()
+    client, view = follow(far.address, data_centre='dc-a')
+    wait_for(lambda: client.source == 'host-far')
+    changes = [put_host(near, 'dc-a')]
+    for source in (near, far):
+        source.view.apply(1, 2, changes)
+        source.fresh()
+    wait_for(lambda: client.source == 'host-near')
+    assert view.state.revision == 2
+    client.stop()
+    near.server.stop()
+    far.server.stop()
+
+
+def test_node_returns_to_the_near_source_and_gets_only_what_it_lacks():
+    near, far = two_centres()
+    client, view = follow(near.address, data_centre='dc-a')
+    wait_for(lambda: client.source == 'host-near')
+    address = near.address
+    near.server.stop()
+    wait_for(lambda: client.source == 'host-far', 10)
+    far_snapshots = snapshots_of(far)
+    far.view.apply(1, 3, [put_centre('dc-c', out=True)])
+    wait_for(lambda: view.data_centre_out('dc-c'))
+    again = LinkServer(
+        address,
+        Identity('host-near', 'control', 'i2'),
+        SECRET,
+        near.watch.handlers(),
+    )
+    again.start()
+    near.view.apply(1, 3, [put_centre('dc-c', out=True)])
+    near.fresh()
+    far.fresh()
+    wait_for(lambda: client.source == 'host-near', 10)
+    near.view.apply(1, 4, [put_centre('dc-d')])
+    wait_for(lambda: view.state.revision == 4)
+    assert far_snapshots == []
+    client.stop()
+    again.stop()
+    far.server.stop()
+
+
+def test_near_source_without_proof_is_left_for_a_distant_one():
+    near, far = two_centres()
+    clock = near.view.now_ms
+    near.view.now_ms = lambda: clock() + 60_000  # its proof is that old
+    client, view = follow(near.address, far.address, data_centre='dc-a')
+    wait_for(lambda: client.source == 'host-far')
+    far.fresh()
+    wait_for(lambda: view.age_ms() < 5_000)
+    far.view.apply(1, 3, [put_centre('dc-c', out=True)])
+    wait_for(lambda: view.data_centre_out('dc-c'), 2)
+    client.stop()
+    near.server.stop()
+    far.server.stop()
+
+
+def test_near_source_that_is_silent_is_left_within_the_bound():
+    near, far = two_centres()
+    relay = Relay('127.0.0.1:0', near.address)
+    relay.start()
+    host = ControlHost(
+        name='host-near', peer_address=relay.address, data_centre='dc-a'
+    )
+    for source in (near, far):
+        source.view.apply(1, 3, [Change.put('control_host', host)])
+    client, view = follow(relay.address, far.address, data_centre='dc-a')
+    wait_for(lambda: client.source == 'host-near')
+    relay.silence()
+    far.fresh()
+    far.view.apply(1, 4, [put_centre('dc-c', out=True)])
+    wait_for(lambda: view.data_centre_out('dc-c'), 2)
+    client.stop()
+    near.server.stop()
+    far.server.stop()
+
+
+def deltas_of_a_start(count):
+    """
+    Let nodes register within half a second while all of them watch.
+
+    :return: the number of frames with deltas that the source sent.
+    """
+    source = Source()
+    source.view.apply(1, 1, [put_centre('dc-a')])
+    source.fresh()
+    frames = []
+    send_deltas = source.watch._deltas.since
+
+    def count_frames(*arguments):
+        sent = send_deltas(*arguments)
+        if sent is not None:
+            frames.append(sent)
+        return sent
+
+    source.watch._deltas.since = count_frames
+    clients = []
+    for number in range(count):
+        identity = Identity(f'node-{number}', 'node', 'i')
+        client = WatchClient(
+            FleetView(),
+            LinkPool(identity, SECRET),
+            identity,
+            lambda: [(source.address, source.address)],
+            random.Random(number),
+        )
+        client.start()
+        clients.append(client)
+    wait_for(lambda: len(source.watch.watchers()) == count)
+    for number in range(count):
+        item = backend(f'node-{number}', 'desk')
+        source.view.apply(1, 2 + number, [Change.put('backend', item)])
+        gevent.sleep(0.5 / count)
+    last = count + 1
+    wait_for(lambda: all(c._view.state.revision == last for c in clients))
+    for client in clients:
+        client.stop()
+    source.server.stop()
+    return len(frames)
+
+
+def test_frames_of_a_start_grow_with_the_fleet_and_not_with_its_square():
+    few, many = deltas_of_a_start(24), deltas_of_a_start(96)
+    # Four times as many frames are expected, 16 times without gathering.
+    assert many <= 6 * few
+
+
+def test_malformed_changes_stop_no_node():
+    class Broken(Source):
+        def fresh(self):
+            self.watch._deltas.since = lambda *_a: (1, 9, b'\x01', True)
+            super().fresh()
+
+    broken, sound = Broken('host-a'), Source('host-b')
+    for source in (broken, sound):
+        source.view.apply(1, 2, [put_centre('dc-a')])
+        source.fresh()
+    sound.view.apply(1, 3, [put_centre('dc-b')])
+    client, view = follow(broken.address, sound.address)
+    wait_for(lambda: view.state.revision == 3)
+    assert client.source == 'host-b'
+    client.stop()
+    broken.server.stop()
+    sound.server.stop()
