--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -60,7 +60,10 @@
 IDLE_HEARTBEAT_INTERVAL_MS = 2_000
 #: Time since its last exchange was opened during which a link is in use.
 RECENT_USE_MS = 5_000
-MAX_UNUSED_MS = 60_000  # the side that opened an unused link then closes it
+#: Time without an exchange after which the side that opened a link closes it.
+#: Nodes talk to most control hosts only while they look for one to follow.
+MAX_UNUSED_MS = 15_000
+MAX_UNUSED_CONTROL_MS = 3_000
 PONG_TIMEOUT_MS = 700  # silence after a ping that closes a link
 READ_EVENT = 1  # flag of libev for a readable socket
 #: Time that sent data may stay unacknowledged before the kernel closes the
@@ -456,7 +459,7 @@
             # read before the peer is judged to be silent.
             self._last_ping_ms = 0.0
         elif self._may_close():
-            gevent.spawn(self.close)
+            gevent.spawn(self._close_unused)
         elif self._ping_timed_out():
             gevent.spawn(self._close_silent)
         elif self._ping_is_due() and not self._backlog:
@@ -466,9 +469,15 @@
         if self._exchanges:
             return False
         unused_ms = self._now_ms() - self._last_used_ms
-        return self._draining or (
-            self._is_opener and unused_ms > MAX_UNUSED_MS
-        )
+        limit_ms = MAX_UNUSED_MS
+        if self.peer.role == 'control':
+            limit_ms = MAX_UNUSED_CONTROL_MS
+        return self._draining or (self._is_opener and unused_ms > limit_ms)
+
+    def _close_unused(self):
+        # An exchange may have been opened since the check.
+        if self._may_close():
+            self.close()
 
     def _close_silent(self):
         if not self.closed.is_set():
--- a/damasklanding/node/sources.py
+++ b/damasklanding/node/sources.py
@@ -70,6 +70,10 @@
                 return address
         return None
 
+    def knows_near(self):
+        """Return whether a control host in the own data centre is listed."""
+        return any(map(self.is_near, self._data_centres()))
+
     def is_near(self, address):
         """Return whether a control host stands in the own data centre."""
         data_centre = self._data_centres().get(address, '')
--- a/damasklanding/node/watch.py
+++ b/damasklanding/node/watch.py
@@ -173,7 +173,7 @@
             link = self._pool.get(address)
         state = self._view.state
         is_control = link.peer.role == 'control'
-        if is_control and not state.revision:
+        if is_control and not state.revision and not self.sources.knows_near():
             self._look_for_nearer(address, link)
         services = list(self._services)
         message = Watch(
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -12,6 +12,7 @@
 from damasklanding.errors import NotFound
 from damasklanding.handshake import open_handshake
 from damasklanding.link import Identity
+from damasklanding.link import LinkOptions
 from damasklanding.link import open_link
 from damasklanding.link import parse_address
 from damasklanding.linkpool import LinkPool
@@ -21,6 +22,7 @@
 from damasklanding.messages import Propose
 from damasklanding.messages import ProposeReply
 from damasklanding.messages import StatusRequest
+from damasklanding.periodic import PeriodicTimer
 from damasklanding.wire import encode_frame
 
 NODE = Identity('node-a', 'node', 'i1')
@@ -183,3 +185,57 @@
     assert set(levels.values()) == {MESSAGE_LEVEL}
     assert link.request(Propose('g', b'x'), 2_000).outcome == b'x'
     server.stop()
+
+
+class AgingLink:
+    """A link whose clock a test moves on."""
+
+    def __init__(self, server):
+        self.clock_ms = 0.0
+        options = LinkOptions(
+            now_ms=lambda: self.clock_ms, timer=PeriodicTimer(3_600_000)
+        )
+        self.link = open_link(server.address, NODE, SECRET, options=options)
+
+    def age(self, duration_ms):
+        for _ in range(int(duration_ms / 200)):
+            self.clock_ms += 200
+            self.link._check_connection()
+            gevent.sleep(0.005)
+
+
+def test_link_to_a_control_host_is_closed_soon_after_its_last_use():
+    server = start_server({Propose: echo})
+    aging = AgingLink(server)
+    aging.age(2_800)
+    aging.link.request(Propose('g', b'x'), 2_000)
+    aging.age(2_800)
+    assert not aging.link.closed.is_set()
+    aging.age(600)
+    assert aging.link.closed.is_set()
+    server.stop()
+
+
+def test_link_to_a_node_is_kept_longer():
+    server = LinkServer('127.0.0.1:0', NODE, SECRET, {Propose: echo})
+    server.start()
+    aging = AgingLink(server)
+    aging.age(14_800)
+    assert not aging.link.closed.is_set()
+    aging.age(600)
+    assert aging.link.closed.is_set()
+    server.stop()
+
+
+def test_unused_link_is_not_closed_under_a_new_exchange():
+    server = start_server({Propose: echo})
+    aging = AgingLink(server)
+    aging.clock_ms = 2_950.0
+    aging.link._check_connection()
+    aging.clock_ms = 3_100.0
+    aging.link._check_connection()
+    # The close waits for its greenlet; this request comes first.
+    reply = aging.link.request(Propose('g', b'x'), 2_000)
+    assert reply.outcome == b'x'
+    assert not aging.link.closed.is_set()
+    server.stop()
