--- a/damasklanding/node/presence.py
+++ b/damasklanding/node/presence.py
@@ -6,6 +6,7 @@
 that may come late, repeated or out of order.
 """
 
+from collections import deque
 from dataclasses import dataclass
 
 from damasklanding.clock import wall_ms
@@ -19,6 +20,9 @@
 #: Largest step between the sequence numbers of two reports of one start for
 #: which the second one is believed by itself.
 MAX_SEQUENCE_STEP = 100
+#: Sequence numbers out of line that are remembered, until one of them is
+#: continued.
+MAX_SUSPECTS = 16
 #: Most reports a second that the first sequence number heard may stand for.
 MAX_REPORTS_PER_S = 10
 
@@ -63,14 +67,15 @@
         self._is_known_service = is_known_service
         self._latest = None
         self._left = False
-        self._unbelieved_sequence = None
+        self._suspects = deque(maxlen=MAX_SUSPECTS)
 
     def handle_report(self, report):
         """
         Take a report; one that is older than the latest changes nothing.
 
         Another writer may send a report in the name of a good backend server.
-        One that is far ahead would make all true ones look old.
+        One that is far ahead would make all true ones look old, so a number
+        out of line is believed only once another report has continued it.
 
         :raises BadInput: it is of another address, or not believed.
         """
@@ -79,7 +84,7 @@
                 f'{report.address} is not the backend server of this node',
                 'announce it to the node beside it',
             )
-        if not self._is_newer(report):
+        if not self._is_newer(report) and not self._goes_back(report):
             return
         self._require_plausible(report)
         self._latest = report
@@ -125,18 +130,42 @@
             and not self._is_known_service(report.service)
         ):
             raise BadInput('the configuration has no service of this name')
-        if self._continues_count(report):
-            self._unbelieved_sequence = None
+        if self._continues_count(report) or self._continues_suspect(report):
+            self._forget_suspects(report)
             return
-        # The next report is believed if it goes on from here.
-        self._unbelieved_sequence = report.sequence
+        self._suspects.append(report.sequence)
         raise BadInput('the sequence number is far ahead of the last one')
 
+    def _goes_back(self, report):
+        """
+        Return whether the count of the latest report was a wrong one.
+
+        A late report is at most a few behind.  One that is far behind, and is
+        continued, is of a writer that never had the numbers in between.
+        """
+        latest = self._latest
+        if self._left or not _is_same_start(latest, report):
+            return False
+        if latest.sequence - report.sequence <= MAX_SEQUENCE_STEP:
+            return False
+        if self._continues_suspect(report):
+            return True
+        self._suspects.append(report.sequence)
+        return False
+
+    def _continues_suspect(self, report):
+        return any(
+            0 < report.sequence - suspect <= MAX_SEQUENCE_STEP
+            for suspect in self._suspects
+        )
+
+    def _forget_suspects(self, report):
+        latest = self._latest
+        if latest is None or not _is_same_start(latest, report):
+            self._suspects.clear()
+
     def _continues_count(self, report):
         sequence = report.sequence
-        suspect = self._unbelieved_sequence
-        if suspect is not None and sequence > suspect:
-            return True
         latest = self._latest
         if latest is not None and _is_same_start(latest, report):
             return sequence - latest.sequence <= MAX_SEQUENCE_STEP
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -1,3 +1,4 @@
+import contextlib
 import dataclasses
 
 import pytest
@@ -84,3 +85,64 @@
     with pytest.raises(BadInput):
         presence.handle_report(but(address='10.0.0.9:80'))
     assert not announced
+
+
+def test_no_run_of_wrong_numbers_shuts_the_true_reports_out(
+    presence, announced
+):
+    runs = [
+        (2**31, 2**32),
+        (2**31, 2**31 + 1, 2**31 + 2),
+        (10**6, 10**7, 10**8, 10**8 + 1),
+        (5_000, 5_050, 5_100, 2**40),
+    ]
+    sequence = 4
+    presence.handle_report(REPORT)
+    for wrong in runs:
+        for number in wrong:
+            report = but(in_service=False, sequence=number)
+            with contextlib.suppress(BadInput):
+                presence.handle_report(report)
+        for _ in range(2):
+            sequence += 1
+            with contextlib.suppress(BadInput):
+                presence.handle_report(but(sequence=sequence))
+        assert announced[-1].state == 'in', wrong
+
+
+def test_wrong_reports_between_the_true_ones_keep_none_out(
+    presence, announced
+):
+    presence.handle_report(REPORT)
+    for number in (2**31, 2**31 + 1):
+        with contextlib.suppress(BadInput):
+            presence.handle_report(but(in_service=False, sequence=number))
+    for step in (1, 2):
+        with contextlib.suppress(BadInput):
+            presence.handle_report(but(sequence=2**50 * step))
+        presence.handle_report(but(sequence=4 + step))
+    assert announced[-1].state == 'in'
+
+
+def test_late_reports_do_not_take_a_leave_back(presence, announced):
+    presence.handle_report(but(sequence=90))
+    presence.handle_report(but(in_service=False, sequence=91))
+    for sequence in (85, 86, 87, 88, 89, 90):
+        presence.handle_report(but(sequence=sequence))
+    assert announced[-1].state == 'draining'
+
+
+def test_numbers_of_an_earlier_start_prove_nothing_about_a_later_one(
+    presence, announced
+):
+    presence.handle_report(REPORT)
+    with pytest.raises(BadInput):
+        presence.handle_report(but(sequence=10**6))
+    presence.handle_report(
+        but(instance='i-2', started_at_ms=2_000, sequence=1)
+    )
+    with pytest.raises(BadInput):
+        presence.handle_report(
+            but(instance='i-2', started_at_ms=2_000, sequence=10**6 + 1)
+        )
+    assert len(announced) == 2
