--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -398,6 +398,7 @@
         self._start = start
         self._started_ms = self._now_ms()
         self._leaving_start = ''
+        self._gate.forget_failures()
         self._expect_first_answer()
 
     def _expect_first_answer(self):
--- a/damasklanding/policy/gate.py
+++ b/damasklanding/policy/gate.py
@@ -20,6 +20,8 @@
 from damasklanding.policy.limiter import AdaptiveLimiter
 from damasklanding.policy.queue import WaitQueue
 from damasklanding.policy.serverrate import ServerRate
+from damasklanding.policy.successratio import SuccessRatio
+from damasklanding.policy.successratio import turned_away_idle
 from damasklanding.policy.throttle import RefusalLevels
 from damasklanding.policy.types import CallResult
 from damasklanding.policy.types import LoadReport
@@ -142,6 +144,7 @@
         self.draining = False
         self._now_ms = now_ms
         self._service_times = _ServiceTimes()
+        self._success = SuccessRatio()
         self._timer = None
 
     @contextmanager
@@ -182,6 +185,7 @@
                 if self.server_rate.is_limited
                 else 0.0
             ),
+            success_ratio=round(self._success.current(self._now_ms()), 3),
         )
 
     def expected_wait_ms(self, request):
@@ -217,6 +221,10 @@
         """Be careful until the backend server may have named a rate."""
         self.server_rate.expect_first_answer()
 
+    def forget_failures(self):
+        """Forget the failures of a start that has ended."""
+        self._success = SuccessRatio()
+
     def note_resend(self):
         """Count a call that is sent to the backend server once more."""
         self.server_rate.take()
@@ -301,11 +309,20 @@
         if slot.result is CallResult.OK:
             held_ms = self._now_ms() - slot.call.started_ms
             self._service_times.learn(slot.call.profile, held_ms)
+        self._note_success(slot.result)
         self.limiter.end(
             slot.call, slot.result, slot.own_time_ms(), slot.downstream_ms
         )
         self._dispatch()
 
+    def _note_success(self, result):
+        if result in (CallResult.OK, CallResult.FAILED):
+            self._success.note(result is CallResult.OK, self._now_ms())
+        elif result is CallResult.SHED and turned_away_idle(
+            self.limiter.running, self.limiter.limit
+        ):
+            self._success.note(False, self._now_ms())
+
     def _dispatch(self):
         if not self.queue.length:
             return
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -14,6 +14,7 @@
 
 from damasklanding.errors import Overloaded
 from damasklanding.errors import Unavailable
+from damasklanding.policy.successratio import SuccessRatio
 from damasklanding.policy.types import CallResult
 from damasklanding.policy.types import LoadReport
 
@@ -24,9 +25,6 @@
 EXPLORE_RATIO = 0.02  # of the choices, made at random without a comparison
 REPORT_MAX_AGE_MS = 2_000.0
 LATENCY_SMOOTHING = 0.1
-FULL_SUCCESS_RATIO = 0.99  # a higher success ratio counts as 1
-SUCCESS_SMOOTHING = 0.1  # weight of one outcome in the success ratio
-SUCCESS_HALF_LIFE_MS = 4_000.0  # of the failure ratio of an unused server
 #: A backend server whose success ratio is below this multiple of the best one
 #: gets only exploring choices.
 MIN_RELATIVE_SUCCESS = 0.75
@@ -81,8 +79,7 @@
     :ivar failure_points: sum over consecutive failures.
     :ivar ejections: consecutive ejections.
     :ivar ejected_until_ms: end of the last ejection.
-    :ivar success_ratio: smoothed ratio of successful calls.
-    :ivar rated_ms: time of the last update of that ratio.
+    :ivar success: ratio of the calls of this node that succeeded.
     :ivar latency_ms: smoothed latency, 0.0 if unknown.
     :ivar sampled_ms: time of the last update of the latency.
     """
@@ -90,14 +87,13 @@
     __slots__ = (
         'ejected_until_ms',
         'ejections',
-        'success_ratio',
+        'success',
         'latency_ms',
         'outstanding',
         'failure_points',
         'leaving_start',
         'report',
         'reported_ms',
-        'rated_ms',
         'sampled_ms',
         'sent_since_report',
     )
@@ -111,8 +107,7 @@
         self.failure_points = 0
         self.ejections = 0
         self.ejected_until_ms = float('-inf')
-        self.success_ratio = 1.0
-        self.rated_ms = 0.0
+        self.success = SuccessRatio()
         self.latency_ms = 0.0
         self.sampled_ms = 0.0
 
@@ -121,23 +116,17 @@
         self.failure_points = 0
         self.ejections = 0
         self.ejected_until_ms = float('-inf')
-        self.success_ratio = 1.0
+        self.success = SuccessRatio()
         self.latency_ms = 0.0
 
-    def current_success_ratio(self, now_ms):
-        """Return the success ratio, with failures decayed by their age."""
-        if self.success_ratio > FULL_SUCCESS_RATIO:
-            return 1.0
-        kept = 0.5 ** ((now_ms - self.rated_ms) / SUCCESS_HALF_LIFE_MS)
-        return 1.0 - (1.0 - self.success_ratio) * kept
-
-    def record_outcome(self, success, now_ms):
-        """Update the success ratio with the outcome of a call."""
-        ratio = self.current_success_ratio(now_ms)
-        self.success_ratio = ratio + SUCCESS_SMOOTHING * (
-            float(success) - ratio
-        )
-        self.rated_ms = now_ms
+    def success_ratio(self, now_ms):
+        """
+        Return the success ratio.
+
+        It is the lower one of what this node has seen and of what the node
+        beside the backend server reports of the calls of all nodes.
+        """
+        return min(self.success.current(now_ms), self.report.success_ratio)
 
 
 class Router:
@@ -229,15 +218,12 @@
         A small ratio of the choices keeps them, to explore whether they have
         recovered.
         """
-        if all(
-            candidate.stats.success_ratio > FULL_SUCCESS_RATIO
-            for candidate in candidates
-        ):
+        ratios = [c.stats.success_ratio(now_ms) for c in candidates]
+        best = max(ratios)
+        if min(ratios) >= MIN_RELATIVE_SUCCESS * best:
             return candidates
         if self._random.random() < EXPLORE_RATIO:
             return candidates
-        ratios = [c.stats.current_success_ratio(now_ms) for c in candidates]
-        best = max(ratios)
         if best < MIN_BEST_SUCCESS_RATIO:
             return candidates
         return [
@@ -294,7 +280,7 @@
         stats.outstanding = max(0, stats.outstanding - 1)
         stats.sent_since_report = max(0, stats.sent_since_report - 1)
         if result in RATED_RESULTS:
-            stats.record_outcome(result is CallResult.OK, self._now_ms())
+            stats.success.note(result is CallResult.OK, self._now_ms())
         if result is CallResult.OK:
             stats.failure_points = 0
             stats.ejections = 0
--- a/damasklanding/policy/types.py
+++ b/damasklanding/policy/types.py
@@ -78,6 +78,8 @@
         hosts together, 0.0 if it names no limit.
     :ivar leaving_start: id of the start of the backend server that has said
         in an answer that it leaves, empty if none has.
+    :ivar success_ratio: recent ratio of calls that the backend server
+        neither failed nor turned away while nearly idle.
     :ivar downstream: ``shed_below`` of overloaded services by name, as
         learned from downstream calls.
     """
@@ -94,6 +96,7 @@
     downstream: dict[str, int] = {}
     rate_per_s: float = 0.0
     leaving_start: str = ''
+    success_ratio: float = 1.0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -144,12 +144,17 @@
     assert (load.running, load.queued) == (0, 0)
 
 
-def limited_gate(rate_per_s):
-    """Return a gate with free slots whose server names a rate."""
+def announced_gate(slots):
     gate = build_admission_gate(
         's', build_limiter=lambda now_ms: AnnouncedLimiter(now_ms, lambda: 0.0)
     )
-    gate.announce(False, slots=100)
+    gate.announce(False, slots)
+    return gate
+
+
+def limited_gate(rate_per_s):
+    """Return a gate with free slots whose server names a rate."""
+    gate = announced_gate(100)
     gate.note_rate(rate_per_s, monotonic_ms())
     return gate
 
@@ -204,3 +209,33 @@
     gate.note_rate(float('inf'), monotonic_ms() + 1)
     waiting.join(0.1)
     assert len(served) == 2
+
+
+def end_calls(gate, result, count):
+    for _ in range(count):
+        with gate.admit(make_request()) as slot:
+            slot.finish(result, 5.0)
+
+
+@pytest.mark.parametrize('result', [CallResult.SHED, CallResult.FAILED])
+def test_idle_server_that_turns_calls_away_is_reported(result):
+    gate = announced_gate(80)
+    end_calls(gate, result, 8)
+    assert gate.load().success_ratio < 0.5
+    gate.forget_failures()
+    assert gate.load().success_ratio == 1.0
+
+
+def test_full_server_that_refuses_is_not_reported_as_unwell():
+    gate = announced_gate(10)
+    with ExitStack() as stack:
+        for _ in range(7):
+            stack.enter_context(gate.admit(make_request()))
+        end_calls(gate, CallResult.SHED, 8)
+        assert gate.load().success_ratio == 1.0
+
+
+def test_cancelled_calls_say_nothing_of_the_server():
+    gate = announced_gate(80)
+    end_calls(gate, CallResult.CANCELLED, 8)
+    assert gate.load().success_ratio == 1.0
