--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,6 +21,7 @@
 from bench.fleet import PEER_PORT
 from bench.fleet import SECRET
 from bench.fleet import running_fleet
+from bench.fleetstart import start_bytes
 from bench.relay import Relay
 from bench.result import print_result
 from bench.result import print_table
@@ -40,6 +41,7 @@
 __all__ = ['run']
 
 WATCHER_COUNTS = (0, 60, 120, 240)
+STARTED_COUNTS = (30, 100, 240)
 BACKEND_COUNTS = (0, 500, 1_000, 2_000)
 LINK_COUNTS = (0, 50, 100, 200)
 MEASURE_S = 6.0
@@ -101,6 +103,7 @@
 def run(options):
     """Measure all slopes; returns the exit status."""
     fits = []
+    fits.append(_fleet_start())
     fits += _watchers(options.keep_logs)
     fits += _backends(options.keep_logs)
     fits += _links()
@@ -143,6 +146,12 @@
     ]
 
 
+def _fleet_start():
+    """Measure the bytes that a start of a fleet sends to each watcher."""
+    values = [start_bytes(count) / count / 1000 for count in STARTED_COUNTS]
+    return Fit.through('start_bytes', 'kB a watcher', STARTED_COUNTS, values)
+
+
 def _node_rss_mb(keep_logs):
     """Return the memory of a node beside an idle backend server."""
     with running_fleet(keep_logs) as fleet:
@@ -262,17 +271,21 @@
     """Measure idle links between nodes, both ends in this process."""
     identity = Identity('a', 'node', 'i')
     cpu, rss = [], []
-    links = []
     server = LinkServer('127.0.0.1:0', identity, SECRET.encode(), {})
     server.start()
     for count in LINK_COUNTS:
-        while len(links) < count:
-            links.append(open_link(server.address, identity, SECRET.encode()))
+        # New ones for each count, since unused links close after a while.
+        links = [
+            open_link(server.address, identity, SECRET.encode())
+            for _ in range(count)
+        ]
         gevent.sleep(SETTLE_S)
         before_s = time.process_time()
         gevent.sleep(MEASURE_S)
         cpu.append((time.process_time() - before_s) * 1000 / MEASURE_S / 2)
         rss.append(_own_rss_mb() / 2)
+        for link in links:
+            link.close()
     server.stop()
     return [
         Fit.through('link_cpu', 'ms/s', LINK_COUNTS, cpu),
