--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -57,12 +57,12 @@
 #: load reports, which are valid for 2 s.  A link that was silent since the
 #: last request was sent is pinged after one tick.
 HEARTBEAT_INTERVAL_MS = 1_000
-IDLE_HEARTBEAT_INTERVAL_MS = 2_000
+IDLE_HEARTBEAT_INTERVAL_MS = 5_000
 #: Time since its last exchange was opened during which a link is in use.
-RECENT_USE_MS = 5_000
+RECENT_USE_MS = 2_000
 #: Time without an exchange after which the side that opened a link closes it.
 #: Nodes talk to most control hosts only while they look for one to follow.
-MAX_UNUSED_MS = 15_000
+MAX_UNUSED_MS = 10_000
 MAX_UNUSED_CONTROL_MS = 3_000
 PONG_TIMEOUT_MS = 700  # silence after a ping that closes a link
 READ_EVENT = 1  # flag of libev for a readable socket
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -220,7 +220,7 @@
     server = LinkServer('127.0.0.1:0', NODE, SECRET, {Propose: echo})
     server.start()
     aging = AgingLink(server)
-    aging.age(14_800)
+    aging.age(9_800)
     assert not aging.link.closed.is_set()
     aging.age(600)
     assert aging.link.closed.is_set()
@@ -239,3 +239,29 @@
     assert reply.outcome == b'x'
     assert not aging.link.closed.is_set()
     server.stop()
+
+
+def test_link_that_is_used_once_costs_few_heartbeats():
+    server = LinkServer('127.0.0.1:0', NODE, SECRET, {Propose: echo})
+    server.start()
+    aging = AgingLink(server)
+    aging.link.request(Propose('g', b'x'), 2_000)
+    aging.age(2_000)
+    assert aging.link._ping_seq >= 1
+    aging.age(8_400)
+    assert aging.link.closed.is_set()
+    assert aging.link._ping_seq <= 3
+    server.stop()
+
+
+def test_link_with_an_open_exchange_is_pinged_every_second():
+    def wait(_exchange, _message):
+        gevent.sleep(60)
+
+    server = start_server({Propose: wait})
+    aging = AgingLink(server)
+    with aging.link.exchange(Propose('g', b'x')):
+        aging.age(12_000)
+        assert not aging.link.closed.is_set()
+        assert aging.link._ping_seq >= 8
+    server.stop()
