--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -233,6 +233,8 @@
         from damasklanding.node.watch import WatchClient
         from damasklanding.policy.gate import build_admission_gate
         from damasklanding.policy.retry import RetryBudget
+        from damasklanding.policy.retryshare import RetryBound
+        from damasklanding.policy.retryshare import RetryShares
         from damasklanding.policy.routing import Router
         from damasklanding.policy.throttle import AdaptiveThrottle
         from damasklanding.policy.types import decode_load
@@ -323,6 +325,15 @@
             decisions=DecisionLog(
                 daemon.write_line, settings.name, monotonic_ms
             ),
+            retry_shares=RetryShares(
+                RetryBound(
+                    settings.retry_fleet_ratio,
+                    settings.retry_fleet_slack,
+                    settings.retry_window_ms,
+                ),
+                self._owner_count,
+                monotonic_ms,
+            ),
         )
         self.leaving = False
         self.services = self.interface.node_services(self)
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -35,6 +35,8 @@
 from damasklanding.node.upstream import Upstream
 from damasklanding.policy.dependencies import DependencyCheck
 from damasklanding.policy.quarantine import Quarantine
+from damasklanding.policy.retryshare import NO_RETRY_BOUND
+from damasklanding.policy.retryshare import RetryShares
 
 __all__ = ['Node', 'NodeStatus']
 
@@ -104,6 +106,8 @@
     :param gate: :class:`~damasklanding.policy.gate.AdmissionGate`.
     :param router: :class:`~damasklanding.policy.routing.Router`.
     :param retry_budget: :class:`~damasklanding.policy.retry.RetryBudget`.
+    :param retry_shares: :class:`~damasklanding.policy.retryshare.RetryShares`;
+        None sets no bound for all nodes together.
     :param throttle: :class:`~damasklanding.policy.throttle.AdaptiveThrottle`.
     :param rate_limiter:
         :class:`~damasklanding.budget.rate_limiter.RateLimiter`.
@@ -140,6 +144,7 @@
         ensure_service=_nothing,
         dialects=None,
         decisions=None,
+        retry_shares=None,
     ):
         self.service = ''
         self._out = False
@@ -219,6 +224,7 @@
             router,
             retry_budget,
             metrics,
+            retry_shares or RetryShares(NO_RETRY_BOUND, int, now_ms),
         )
         dependencies = DependencyCheck(
             now_ms,
--- a/damasklanding/node/forward.py
+++ b/damasklanding/node/forward.py
@@ -26,6 +26,7 @@
 from damasklanding.policy.retry import RetryDecision
 from damasklanding.policy.retry import backoff_ms
 from damasklanding.policy.retry import decide_retry
+from damasklanding.policy.retryshare import ServiceBudget
 from damasklanding.policy.types import CallResult
 from damasklanding.policy.types import decode_load
 
@@ -54,10 +55,20 @@
     :param peers: :class:`~damasklanding.node.peers.PeerCaller`.
     :param router: :class:`~damasklanding.policy.routing.Router`.
     :param budget: :class:`~damasklanding.policy.retry.RetryBudget`.
+    :param shares: :class:`~damasklanding.policy.retryshare.RetryShares`.
     """
 
     def __init__(
-        self, name, view, local, own_load, peers, router, budget, metrics
+        self,
+        name,
+        view,
+        local,
+        own_load,
+        peers,
+        router,
+        budget,
+        metrics,
+        shares,
     ):
         self._name = name
         self._view = view
@@ -66,6 +77,7 @@
         self._peers = peers
         self._router = router
         self._budget = budget
+        self._shares = shares
         self._metrics = metrics
         self._now_ms = view.now_ms
         self._candidates = {}
@@ -82,13 +94,16 @@
             ``outcome`` covers all attempts.
         """
         self._budget.note_call()
+        if not call.depth:
+            self._shares.note_request(call.service)
+        budget = ServiceBudget(self._budget, self._shares, call.service)
         tries = _Tries()
         while True:
             failure = self._try(call, tries)
             if failure is None:
                 return tries.answer
             attempt = self._judge(call, tries, failure)
-            verdict = decide_retry(attempt, self._budget)
+            verdict = decide_retry(attempt, budget)
             if verdict is not RetryDecision.RETRY or not self._pause(
                 call, tries, attempt, failure
             ):
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -241,7 +241,7 @@
             importance=importance,
             deadline_at_ms=state.arrived_ms + _timeout_ms(head, profile),
             allowance=RetryAllowance(profile.retries),
-            depth=0,
+            depth=0 if parent is None else parent.call.depth + 1,
             method=request.method,
             target=request.target,
             headers=self._dialect.forwarded_headers(
--- a/damasklanding/options.py
+++ b/damasklanding/options.py
@@ -415,6 +415,29 @@
         'give 0 to 1000',
         'COUNT',
     ),
+    Option(
+        'retry_fleet_ratio',
+        'Repeats to one service that all nodes together may send, a request '
+        'that callers made to it.',
+        _fraction(0, 1),
+        'give a share from 0 to 1',
+        'SHARE',
+    ),
+    Option(
+        'retry_fleet_slack',
+        'Repeats to one service beyond that ratio in a window; 0 sets no '
+        'bound for all nodes together.',
+        _whole(0, 1_000_000),
+        'give 0 to 1000000',
+        'COUNT',
+    ),
+    Option(
+        'retry_window_ms',
+        'Window in which these repeats are counted, with its unit.',
+        _duration_ms(100, 600_000),
+        'give a time such as 10s',
+        'DURATION',
+    ),
     Option(
         'stop_grace_ms',
         'Time from SIGTERM to SIGKILL, with its unit (platform interface).',
--- a/damasklanding/settings.py
+++ b/damasklanding/settings.py
@@ -70,6 +70,9 @@
     backend_service: str = ''
     retry_ratio: float = 0.1
     retry_reserve: int = 10
+    retry_fleet_ratio: float = 0.0
+    retry_fleet_slack: int = 0
+    retry_window_ms: int = 10_000
     stop_grace_ms: int = 30_000
     log_level: str = 'info'
     log_json: bool = False
--- a/damasklanding/telemetry.py
+++ b/damasklanding/telemetry.py
@@ -43,6 +43,7 @@
     draining: bool
     shed_below: int
     rate_per_s: float = 0.0
+    success_ratio: float = 1.0
 
 
 class NodeTelemetry:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -254,6 +254,7 @@
     assert status['control_host']['name'] == 'c1'
     assert status['loads']['n1']['cold'] is True
     assert status['loads']['n1']['rate_per_s'] == 2.5
+    assert status['loads']['n1']['success_ratio'] == 1.0
     assert status['data_centres_out'] == ['obihiro']
 
 
