--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -10,9 +10,11 @@
 from damasklanding.fleet.resources import Change
 from damasklanding.fleet.resources import ControlHost
 from damasklanding.fleet.resources import DataCentre
+from damasklanding.fleet.resources import decode_changes
 from damasklanding.link import Identity
 from damasklanding.linkpool import LinkPool
 from damasklanding.linkserver import LinkServer
+from damasklanding.messages import Watch
 from damasklanding.node.view import FleetView
 from damasklanding.node.watch import WatchClient
 
@@ -557,3 +559,34 @@
     client.stop()
     broken.server.stop()
     sound.server.stop()
+
+
+def test_older_watcher_gets_changes_that_it_can_read():
+    source = Source()
+    source.view.apply(1, 2, [put_centre(f'dc-{n}') for n in range(99)])
+    source.fresh()
+    link = LinkPool(NODE, SECRET).get(source.address)
+    with link.exchange(Watch('node-a', 'i1', 0, 0)) as exchange:
+        snapshot = exchange.receive(2_000)
+        assert not snapshot.compressed
+        assert len(decode_changes(snapshot.changes)) == 99
+        source.view.apply(1, 3, [put_centre(f'dc-{n}') for n in range(99)])
+        delta = exchange.receive(2_000)
+        assert not delta.compressed
+        assert len(decode_changes(delta.changes)) == 99
+    source.server.stop()
+
+
+def test_older_source_is_not_asked_for_control_hosts_alone(monkeypatch):
+    monkeypatch.setattr('damasklanding.node.watch.CONTROL_HOSTS_LEVEL', 99)
+    source = Source()
+    source.view.apply(1, 2, [put_centre('dc-a')])
+    source.fresh()
+    asked = []
+    control_hosts = source.watch._control_hosts
+    source.watch._control_hosts = lambda: asked.append(1) or control_hosts()
+    client, view = follow(source.address, data_centre='dc-a')
+    wait_for(lambda: view.state.revision == 2)
+    assert not asked
+    client.stop()
+    source.server.stop()
