--- a/damasklanding/node/watch.py
+++ b/damasklanding/node/watch.py
@@ -46,6 +46,10 @@
 OPEN_LIMIT_MS = 350
 HOSTS_LIMIT_MS = 350  # for the list of control hosts
 STALE_SOURCE_MS = 1_500  # a source whose proof is older is left
+#: Time for which a node without any state waits at a source without proof:
+#: before the first election no source has one.
+FIRST_PROOF_MS = 800
+FIRST_BEAT_MS = 100  # until the first proof
 RELAY_TURN_MS = 3_000  # a relay is left for a control host after this
 #: A relay is left after this while the view lacks the backend servers of a
 #: service that was asked for.
@@ -106,6 +110,7 @@
         self._seq = 0
         self._sent_ms = {}
         self._probe = None
+        self._followed_ms = 0.0
         self._needs_snapshot = False
         self._log = StateLog()
         self.source = ''
@@ -235,7 +240,7 @@
 
     def _follow_exchange(self, exchange, take, is_control, address):
         now_ms = self._view.now_ms
-        started_ms = answered_ms = now_ms()
+        started_ms = answered_ms = self._followed_ms = now_ms()
         due_ms = 0.0
         while True:
             now = now_ms()
@@ -243,7 +248,7 @@
                 if is_control:
                     self._check_nearer(address)
                 self._beat(self._unknown_services())
-                due_ms = now + BEAT_MS
+                due_ms = now + self._beat_interval_ms()
             if now - answered_ms > REPLY_LIMIT_MS:
                 raise LinkTimeout(f'{self.source} answers no heartbeat')
             if not is_control and now - started_ms > self._relay_turn_ms():
@@ -260,6 +265,16 @@
             else:
                 take(message)
 
+    def _beat_interval_ms(self):
+        return (
+            FIRST_BEAT_MS if self._view.age_ms() == float('inf') else BEAT_MS
+        )
+
+    def _waits_for_first_proof(self):
+        if self._view.state.revision:
+            return False
+        return self._view.now_ms() - self._followed_ms < FIRST_PROOF_MS
+
     def _relay_turn_ms(self):
         if self._unknown_services():
             return INCOMPLETE_RELAY_TURN_MS
@@ -348,7 +363,10 @@
         # what was current at that time.
         if proved and self._view.state.revision >= message.revision:
             self._view.confirm(sent_ms - message.age_ms)
-        if message.age_ms > STALE_SOURCE_MS:
+        if (
+            message.age_ms > STALE_SOURCE_MS
+            and not self._waits_for_first_proof()
+        ):
             raise _StaleSource(f'{self.source} has no fresh state')
         self._log.note('configuration', f'follows {self.source}')
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -590,3 +590,39 @@
     assert not asked
     client.stop()
     source.server.stop()
+
+
+def test_node_without_state_waits_for_the_first_election_at_one_source():
+    sources = [Source('host-a'), Source('host-b')]
+    watched = []
+    for source in sources:
+        start = source.watch._start
+        source.watch._start = lambda w, start=start: (
+            watched.append(w),
+            start(w),
+        )
+    client, view = follow(*(source.address for source in sources))
+    gevent.sleep(0.7)
+    assert len(watched) == 1
+    for source in sources:
+        source.view.apply(1, 1, [put_centre('dc-a')])
+        source.fresh()
+    started_ms = view.now_ms()
+    wait_for(lambda: view.age_ms() < 5_000)
+    assert view.now_ms() - started_ms < 300
+    client.stop()
+    for source in sources:
+        source.server.stop()
+
+
+def test_node_without_state_leaves_a_source_that_gets_no_proof():
+    isolated, sound = Source('host-a'), Source('host-b')
+    sound.view.apply(1, 2, [put_centre('dc-a')])
+    sound.fresh()
+    for _ in range(8):
+        client, view = follow(isolated.address, sound.address)
+        wait_for(lambda view=view: view.state.revision == 2, 2)
+        client.stop()
+        sound.fresh()
+    isolated.server.stop()
+    sound.server.stop()
