--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -301,6 +301,8 @@
             settings.data_centre,
             monotonic_ms,
             random.Random(identity.instance),
+            self._cold_rate_of,
+            self._owner_count,
         )
         self.node = Node(
             settings,
@@ -401,7 +403,10 @@
         return self._owners
 
     def _cold_rate_per_s(self):
-        service = self.view.state.get('service', self.gate.service)
+        return self._cold_rate_of(self.gate.service)
+
+    def _cold_rate_of(self, name):
+        service = self.view.state.get('service', name)
         return service.cold_rate_per_s if service is not None else 0.0
 
     def problem(self):
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -36,6 +36,9 @@
 #: multiple of the lowest one.
 SLOW_LATENCY_RATIO = 3.0
 COLD_LIMIT_RATIO = 0.25  # of a cold remote server's limit, for one node
+#: Time after a backend server has joined cold during which it counts as cold
+#: without a load report.
+JOINING_MS = 5_000.0
 
 FAILURE_POINTS = {
     CallResult.FAILED: 1,
@@ -82,9 +85,12 @@
     :ivar success: ratio of the calls of this node that succeeded.
     :ivar latency_ms: smoothed latency, 0.0 if unknown.
     :ivar sampled_ms: time of the last update of the latency.
+    :ivar cold_turn_ms: time from which this node may send the next call while
+        the backend server is cold, None before the first.
     """
 
     __slots__ = (
+        'cold_turn_ms',
         'ejected_until_ms',
         'ejections',
         'success',
@@ -109,7 +115,9 @@
         self.ejected_until_ms = float('-inf')
         self.success = SuccessRatio()
         self.latency_ms = 0.0
+        self.cold_turn_ms = None
         self.sampled_ms = 0.0
+        self.cold_turn_ms = None
 
     def forget_failures(self):
         """Forget the failures of a start that has ended."""
@@ -118,6 +126,7 @@
         self.ejected_until_ms = float('-inf')
         self.success = SuccessRatio()
         self.latency_ms = 0.0
+        self.cold_turn_ms = None
 
     def success_ratio(self, now_ms):
         """
@@ -137,13 +146,26 @@
     :param own_data_centre: data centre of this node.
     :param now_ms: function that returns the current time in milliseconds.
     :param random: :class:`random.Random`.
+    :param cold_rate_per_s: function of a service's name that returns the rate
+        which a cold backend server of it bears, 0.0 if unknown.
+    :param node_count: function that returns how many nodes share that rate.
     """
 
-    def __init__(self, own_name, own_data_centre, now_ms, random):
+    def __init__(
+        self,
+        own_name,
+        own_data_centre,
+        now_ms,
+        random,
+        cold_rate_per_s=lambda _service: 0.0,
+        node_count=lambda: 1,
+    ):
         self._own_name = own_name
         self._own_data_centre = own_data_centre
         self._now_ms = now_ms
         self._random = random
+        self._cold_rate_per_s = cold_rate_per_s
+        self._node_count = node_count
         self._stats = {}
         self._candidates = {}
 
@@ -199,6 +221,7 @@
             self._refuse_if_shed(usable, request)
             return usable[0].backend
         healthy = self._without_failing(_healthy(usable, now_ms), now_ms)
+        healthy = self._without_cold(healthy, now_ms)
         admitting = [c for c in healthy if self._has_rate(c)]
         for tier in self._tiers(admitting, now_ms):
             best = self._pick(tier, now_ms)
@@ -232,6 +255,44 @@
             if ratio >= MIN_RELATIVE_SUCCESS * best
         ]
 
+    def _without_cold(self, candidates, now_ms):
+        """
+        Leave out cold candidates while another node's turn is due.
+
+        A cold backend server bears a few calls a second from all nodes
+        together.  If each of many nodes sent one when it joins, they would
+        meet there and be refused.
+        """
+        cold = [c for c in candidates if self._is_cold(c, now_ms)]
+        if not cold or len(cold) == len(candidates):
+            return candidates
+        waiting = [c for c in cold if not self._has_cold_turn(c, now_ms)]
+        return [c for c in candidates if c not in waiting]
+
+    def _is_cold(self, candidate, now_ms):
+        backend = candidate.backend
+        if backend.name == self._own_name:
+            return False
+        report = candidate.stats.report
+        if report is not _UNKNOWN:
+            return report.cold
+        age_ms = now_ms - candidate.joined_ms
+        return backend.cold_start and age_ms < JOINING_MS
+
+    def _has_cold_turn(self, candidate, now_ms):
+        interval_ms = self._cold_interval_ms(candidate.backend)
+        stats = candidate.stats
+        if stats.cold_turn_ms is None:
+            stats.cold_turn_ms = now_ms + self._random.random() * interval_ms
+        return now_ms >= stats.cold_turn_ms
+
+    def _cold_interval_ms(self, backend):
+        """Return the time between the calls of one node to a cold server."""
+        rate_per_s = self._cold_rate_per_s(backend.service)
+        if not rate_per_s:
+            return 0.0
+        return 1000.0 * self._node_count() / rate_per_s
+
     def _usable(self, backends, excluded, now_ms):
         usable = []
         known = self._candidates
@@ -241,7 +302,7 @@
                 continue
             candidate = known.get(name)
             if candidate is None or candidate.backend is not backend:
-                candidate = self._add_candidate(backend, candidate)
+                candidate = self._add_candidate(backend, candidate, now_ms)
             stats = candidate.stats
             if stats.leaving_start and backend.start == stats.leaving_start:
                 continue
@@ -251,14 +312,15 @@
                 usable.append(candidate)
         return usable
 
-    def _add_candidate(self, backend, previous):
+    def _add_candidate(self, backend, previous, now_ms):
         stats = self._stats_of(backend.name)
-        if (
-            previous is not None
-            and previous.backend.instance != backend.instance
-        ):
-            stats.forget_failures()
-        candidate = _Candidate(backend, stats)
+        joined_ms = now_ms
+        if previous is not None:
+            if previous.backend.instance != backend.instance:
+                stats.forget_failures()
+            elif previous.backend.start == backend.start:
+                joined_ms = previous.joined_ms
+        candidate = _Candidate(backend, stats, joined_ms)
         self._candidates[backend.name] = candidate
         return candidate
 
@@ -267,6 +329,11 @@
         stats = self._stats_of(name)
         stats.outstanding += 1
         stats.sent_since_report += 1
+        if stats.cold_turn_ms is not None:
+            candidate = self._candidates[name]
+            stats.cold_turn_ms = self._now_ms() + self._cold_interval_ms(
+                candidate.backend
+            )
 
     def call_finished(self, name, result, latency_ms):
         """
@@ -348,7 +415,13 @@
             return self._random.choice(candidates)
         if len(candidates) > SAMPLED_CHOICES:
             candidates = self._random.sample(candidates, SAMPLED_CHOICES)
-        return min(candidates, key=lambda c: _expected_ms(c, now_ms))
+        # What is unknown of one is taken to be as that of the other.
+        known_ms = max(_time_ms(c, now_ms) for c in candidates)
+        known_limit = max(1, *(c.stats.report.limit for c in candidates))
+        return min(
+            candidates,
+            key=lambda c: _expected_ms(c, now_ms, known_ms, known_limit),
+        )
 
     def _has_capacity(self, candidate):
         report = candidate.stats.report
@@ -386,13 +459,18 @@
 
 
 class _Candidate:
-    """A backend server and its statistics."""
+    """
+    A backend server and its statistics.
+
+    :ivar joined_ms: time at which this node first saw its present start.
+    """
 
-    __slots__ = ('backend', 'stats')
+    __slots__ = ('backend', 'joined_ms', 'stats')
 
-    def __init__(self, backend, stats):
+    def __init__(self, backend, stats, joined_ms):
         self.backend = backend
         self.stats = stats
+        self.joined_ms = joined_ms
 
 
 def _healthy(usable, now_ms):
@@ -436,10 +514,22 @@
     return stats.latency_ms * exp(-age_ms / LATENCY_DECAY_MS)
 
 
-def _expected_ms(candidate, now_ms):
-    """Return an estimate of a call's time, for comparisons only."""
-    report = candidate.stats.report
-    time_ms = _latency_ms(candidate, now_ms) or report.service_time_ms
-    limit = max(1, report.limit)
+def _time_ms(candidate, now_ms):
+    """Return the time of a call as seen or reported, 0.0 if unknown."""
+    return (
+        _latency_ms(candidate, now_ms)
+        or candidate.stats.report.service_time_ms
+    )
+
+
+def _expected_ms(candidate, now_ms, known_ms, known_limit):
+    """
+    Return an estimate of a call's time, for comparisons only.
+
+    :param known_ms: time that stands for one that is unknown.
+    :param known_limit: limit that stands for one that is unknown.
+    """
+    time_ms = _time_ms(candidate, now_ms) or known_ms
+    limit = candidate.stats.report.limit or known_limit
     utilisation = (_load(candidate) + 1) / limit
     return (time_ms + 1.0) * (0.5 + utilisation)
