--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -221,14 +221,24 @@
             self._refuse_if_shed(usable, request)
             return usable[0].backend
         healthy = self._without_failing(_healthy(usable, now_ms), now_ms)
-        healthy = self._without_cold(healthy, now_ms)
+        preferred = self._without_cold(healthy, now_ms)
+        best = self._best_with_room(preferred, now_ms)
+        if best is None and preferred is not healthy:
+            best = self._best_with_room(healthy, now_ms)
+        if best is not None:
+            return best.backend
+        self._refuse_if_shed(healthy, request)
         admitting = [c for c in healthy if self._has_rate(c)]
+        return self._pick(admitting or healthy, now_ms).backend
+
+    def _best_with_room(self, candidates, now_ms):
+        """Return the best candidate of the nearest group that has room."""
+        admitting = [c for c in candidates if self._has_rate(c)]
         for tier in self._tiers(admitting, now_ms):
             best = self._pick(tier, now_ms)
             if best is not None and self._has_capacity(best):
-                return best.backend
-        self._refuse_if_shed(healthy, request)
-        return self._pick(admitting or healthy, now_ms).backend
+                return best
+        return None
 
     def has_usable(self, candidates):
         """Return whether a backend server accepts calls, as far as known."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -246,3 +246,56 @@
     router.call_started('near-1')
     picked = chosen(router, 50, [limited, other])
     assert picked['near-1'] <= 5
+
+
+def cold_router(clock, nodes):
+    return Router(
+        'own',
+        'dc-a',
+        lambda: clock[0],
+        random.Random(1),
+        lambda _service: 5.0,
+        lambda: nodes,
+    )
+
+
+def test_cold_server_is_used_while_the_warm_ones_are_full(clock):
+    router = cold_router(clock, 1_000)
+    report(router, 'far-1', running=10, limit=10)
+    report(router, 'far-2', limit=4, cold=True)
+    assert set(chosen(router, 20, FLEET[3:])) == {'far-2'}
+    report(router, 'far-1', running=2, limit=10)
+    assert set(chosen(router, 20, FLEET[3:])) == {'far-1'}
+
+
+def test_cold_servers_share_the_calls_where_none_is_warm(clock):
+    router = cold_router(clock, 1_000)
+    for name in ('far-1', 'far-2'):
+        report(router, name, limit=4, cold=True)
+    assert set(chosen(router, 20, FLEET[3:])) == {'far-1', 'far-2'}
+
+
+def test_cold_server_gets_one_call_of_a_node_in_its_interval(clock):
+    router = cold_router(clock, 10)  # one call in 2 s
+    calls = Counter()
+    while clock[0] < 20_000:
+        clock[0] += 10.0
+        report(router, 'far-1', limit=10)
+        report(router, 'far-2', limit=4, cold=True)
+        name = router.choose(FLEET[3:], admission_request(0), ()).name
+        router.call_started(name)
+        router.call_finished(name, CallResult.OK, 20.0)
+        calls[name] += 1
+    assert 8 <= calls['far-2'] <= 10
+
+
+def test_server_of_unknown_time_and_limit_draws_no_herd(router):
+    for _ in range(20):
+        router.call_started('far-1')
+        router.call_finished('far-1', CallResult.OK, 200.0)
+    report(router, 'far-1', running=2)
+    counts = chosen(router, 200, FLEET[3:])
+    assert counts['far-2'] >= 20  # it is explored
+    for _ in range(5):
+        router.call_started('far-2')
+    assert chosen(router, 200, FLEET[3:])['far-1'] >= 150
