--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from bench.relay import Relay
+from damasklanding.control.watch import GATHER_MS
 from damasklanding.control.watch import WatchServer
 from damasklanding.fleet.resources import Backend
 from damasklanding.fleet.resources import BudgetShard
@@ -16,6 +17,7 @@
 from damasklanding.linkserver import LinkServer
 from damasklanding.messages import Watch
 from damasklanding.node.view import FleetView
+from damasklanding.node.watch import FIRST_BEAT_MS
 from damasklanding.node.watch import WatchClient
 
 SECRET = b'0123456789abcdef'
@@ -496,7 +498,8 @@
     """
     Let nodes register within half a second while all of them watch.
 
-    :return: the number of frames with deltas that the source sent.
+    :return: pair of the frames with deltas that the source sent, and of the
+        seconds from the first registration until all had heard of the last.
     """
     source = Source()
     source.view.apply(1, 1, [put_centre('dc-a')])
@@ -524,22 +527,33 @@
         client.start()
         clients.append(client)
     wait_for(lambda: len(source.watch.watchers()) == count)
+    started_ms = source.view.now_ms()
     for number in range(count):
         item = backend(f'node-{number}', 'desk')
         source.view.apply(1, 2 + number, [Change.put('backend', item)])
         gevent.sleep(0.5 / count)
     last = count + 1
     wait_for(lambda: all(c._view.state.revision == last for c in clients))
+    elapsed_s = (source.view.now_ms() - started_ms) / 1000
     for client in clients:
         client.stop()
     source.server.stop()
-    return len(frames)
+    return len(frames), elapsed_s
+
+
+#: Most frames to a watcher in a second: one for each time that changes are
+#: gathered, and one with the answer to each heartbeat.
+MOST_FRAMES_PER_S = 1000 / GATHER_MS + 1000 / FIRST_BEAT_MS
 
 
 def test_frames_of_a_start_grow_with_the_fleet_and_not_with_its_square():
-    few, many = deltas_of_a_start(24), deltas_of_a_start(96)
-    # Four times as many frames are expected, 16 times without gathering.
-    assert many <= 6 * few
+    few, few_s = deltas_of_a_start(24)
+    many, many_s = deltas_of_a_start(96)
+    assert few <= 24 * (1 + MOST_FRAMES_PER_S * few_s)
+    assert many <= 96 * (1 + MOST_FRAMES_PER_S * many_s)
+    # In the same time four times as many frames are expected, 16 times
+    # without gathering.
+    assert many / many_s <= 6 * few / few_s
 
 
 def test_malformed_changes_stop_no_node():
