--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -14,6 +14,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -103,15 +104,19 @@
     It answers what names its instance or none, serves one request at a time
     on a connection, and pings the control address of its own machine.
 
-    :ivar runs: time, id and path of each request that it ran.
-    :ivar arrivals: the same of each request that reached it and got no 421.
+    :ivar arrivals: time, id and path of each request that reached it and got
+        no 421; it runs all of these.
+    :ivar work_s_of: function of a path; how long such a request runs.
+    :ivar loses: function of a path; whether the connection is reset once the
+        request has run, so that its answer is lost.
     """
 
     def __init__(self, fleet, machine, instance, work_s=0.02, slots=72):
         self.fleet = fleet
         self.machine = machine
         self.instance = instance
-        self.work_s = work_s
+        self.work_s_of = lambda _path: work_s
+        self.loses = lambda _path: False
         self.slots = slots
         self.state = 'ready'
         self.pings = True
@@ -207,7 +212,11 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with sock, sock.makefile('rb') as file:
                 while head := _read_head(file):
-                    sock.sendall(self._answer(head))
+                    answer = self._answer(head)
+                    if self.loses(head['line'].split()[1]):
+                        _reset(sock)
+                        return
+                    sock.sendall(answer)
         except OSError:
             pass
         finally:
@@ -222,10 +231,15 @@
             return _reply('421 Misdirected Request', request_id, b'', False)
         self.arrivals.append((self.fleet.record.now_s(), request_id, path))
         self.fleet.record.note(f'run {self.instance} id={request_id} {path}')
-        time.sleep(self.work_s)
+        time.sleep(self.work_s_of(path))
         return _reply('200 OK', request_id, b'whole', True)
 
 
+def _reset(sock):
+    linger = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _read_head(file):
     line = file.readline()
     if not line:
@@ -476,7 +490,7 @@
                 pause_s = min(0.5, pause_s * 1.5)
         return 0, answer
 
-    def document(self, **changes):
+    def document(self, timeout='1200ms', **changes):
         """Return the next desired state."""
         base = self._version
         version = base + 2
@@ -490,7 +504,7 @@
                 'match': {'pathPrefix': f'/{service}/'},
                 'action': {
                     'service': service,
-                    'timeout': '1200ms',
+                    'timeout': timeout,
                     'maxAttempts': 2,
                 },
             }
