--- a/review/r/case.py
+++ b/review/r/case.py
@@ -76,13 +76,9 @@
     record.say('the backend ends')
     sender.join()
     from_s = confirmed_s + DRAIN_S
-    late = [
-        (at_s, i) for at_s, i, _ in leaving.arrivals if at_s > from_s
-    ]
+    late = [(at_s, i) for at_s, i, _ in leaving.arrivals if at_s > from_s]
     record.say(f'statuses of the long requests: {sorted(answers)}')
-    record.say(
-        f'{len(late)} requests reached the backend after {from_s:.3f}'
-    )
+    record.say(f'{len(late)} requests reached the backend after {from_s:.3f}')
     return status == 200 and bool(late)
 
 
