--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,6 +10,7 @@
 
 from fleet import EVACUATE_S  # noqa: E402
 from fleet import STABLE_WINDOW_S  # noqa: E402
+from fleet import CannotRun  # noqa: E402
 from fleet import Clients  # noqa: E402
 from fleet import fleet  # noqa: E402
 from fleet import run_case  # noqa: E402
@@ -49,6 +50,8 @@
     running.order('DELETE', path, first=frozen)
     time.sleep(0.2)
     status, _ = running.order('POST', path, first=running.core[1])
+    if status != 200:
+        raise CannotRun('the evacuation was not confirmed')
     confirmed_s = record.now_s()
     record.say(f'the evacuation is in force since {confirmed_s:.3f}')
     time.sleep(max(0, frozen_s + FREEZE_S - record.now_s()))
@@ -64,7 +67,7 @@
     record.say(
         f'{len(late)} requests reached the evacuated zone after {from_s:.3f}'
     )
-    return status == 200 and bool(late)
+    return bool(late)
 
 
 if __name__ == '__main__':
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,6 +9,7 @@
 sys.path.insert(0, os.path.join(HERE, '..', 'common'))
 
 from fleet import KEY  # noqa: E402
+from fleet import CannotRun  # noqa: E402
 from fleet import Clients  # noqa: E402
 from fleet import fleet  # noqa: E402
 from fleet import run_case  # noqa: E402
@@ -46,7 +47,7 @@
         'burst': BURST,
     }
     if running.put_config(running.document(tenants=[tenant])) != 200:
-        return False
+        raise CannotRun('the limit was not confirmed')
     time.sleep(10)  # the limit binds, and the bucket is full
     record.say('the tenant begins to press')
     per_node = PRESS_X * RATE_PER_S / len(running.nodes)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -14,7 +14,6 @@
 import re
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
@@ -94,7 +93,6 @@
         self.service = service
         self.process = None
         self.started_s = 0.0
-        self.starts = 0
 
 
 class Backend:
@@ -106,17 +104,13 @@
 
     :ivar arrivals: time, id and path of each request that reached it and got
         no 421; it runs all of these.
-    :ivar work_s_of: function of a path; how long such a request runs.
-    :ivar loses: function of a path; whether the connection is reset once the
-        request has run, so that its answer is lost.
     """
 
     def __init__(self, fleet, machine, instance, work_s=0.02, slots=72):
         self.fleet = fleet
         self.machine = machine
         self.instance = instance
-        self.work_s_of = lambda _path: work_s
-        self.loses = lambda _path: False
+        self.work_s = work_s
         self.slots = slots
         self.state = 'ready'
         self.pings = True
@@ -212,11 +206,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with sock, sock.makefile('rb') as file:
                 while head := _read_head(file):
-                    answer = self._answer(head)
-                    if self.loses(head['line'].split()[1]):
-                        _reset(sock)
-                        return
-                    sock.sendall(answer)
+                    sock.sendall(self._answer(head))
         except OSError:
             pass
         finally:
@@ -231,15 +221,10 @@
             return _reply('421 Misdirected Request', request_id, b'', False)
         self.arrivals.append((self.fleet.record.now_s(), request_id, path))
         self.fleet.record.note(f'run {self.instance} id={request_id} {path}')
-        time.sleep(self.work_s_of(path))
+        time.sleep(self.work_s)
         return _reply('200 OK', request_id, b'whole', True)
 
 
-def _reset(sock):
-    linger = struct.pack('ii', 1, 0)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
 def _read_head(file):
     line = file.readline()
     if not line:
@@ -385,7 +370,8 @@
         with open(path, 'w', encoding='utf-8') as file:
             file.write(text)
         words = role['run'].split()
-        words[0] = _python()
+        # The interpreter for which the build has placed the packages.
+        words[0] = sys.executable
         kept = ('PATH', 'HOME', 'LANG')
         environ = {k: os.environ[k] for k in kept if k in os.environ}
         environ['PYTHONPATH'] = os.path.join(ROOT, 'target/deps')
@@ -397,7 +383,6 @@
                 words, cwd=ROOT, env=environ, stdout=out, stderr=out
             )
         machine.started_s = self.record.now_s()
-        machine.starts += 1
         self.record.note(f'start {machine.name} {machine.ip}')
 
     def signal(self, machine, number):
@@ -424,12 +409,6 @@
             if not backend.stopped:
                 backend.stop()
 
-    def logs(self, machine):
-        """Return what the process of a machine has written."""
-        path = os.path.join(self.folder, f'{machine.name}.log')
-        with open(path, encoding='utf-8', errors='replace') as file:
-            return file.read()
-
     def request(self, machine, path, timeout_ms=2_000, method='GET'):
         """Send one client request; return its id and the status, 0 if none."""
         with self._id_lock:
@@ -490,7 +469,7 @@
                 pause_s = min(0.5, pause_s * 1.5)
         return 0, answer
 
-    def document(self, timeout='1200ms', **changes):
+    def document(self, **changes):
         """Return the next desired state."""
         base = self._version
         version = base + 2
@@ -504,7 +483,7 @@
                 'match': {'pathPrefix': f'/{service}/'},
                 'action': {
                     'service': service,
-                    'timeout': timeout,
+                    'timeout': '1200ms',
                     'maxAttempts': 2,
                 },
             }
@@ -607,11 +586,6 @@
     return True
 
 
-def _python():
-    """Return the interpreter for which the build placed its packages."""
-    return sys.executable
-
-
 def _fill(template, fields):
     def value(match):
         found = fields
--- a/review/r/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
-cd "$(dirname "$0")" && exec python3 case.py
