--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,9 +14,10 @@
 from fleet import Clients  # noqa: E402
 from fleet import fleet  # noqa: E402
 from fleet import run_case  # noqa: E402
-from fleet import trouble  # noqa: E402
 
 ZONE = 'kushiro'
+#: With TROUBLE=0 the case plays without its disruption.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 CORE_ZONES = ('kushiro', 'asahikawa', 'obihiro', 'kushiro', 'asahikawa')
 NODES = (
     ('side-1', 'kushiro', 'balance'),
@@ -43,7 +44,7 @@
     running.order('POST', path, first=running.core[1])
     time.sleep(1)
     frozen = running.core[3]
-    if trouble():
+    if TROUBLE:
         running.signal(frozen, signal.SIGSTOP)
     frozen_s = record.now_s()
     time.sleep(0.2)
@@ -55,7 +56,7 @@
     confirmed_s = record.now_s()
     record.say(f'the evacuation is in force since {confirmed_s:.3f}')
     time.sleep(max(0, frozen_s + FREEZE_S - record.now_s()))
-    if trouble():
+    if TROUBLE:
         running.signal(frozen, signal.SIGCONT)
     thawed_s = record.now_s()
     from_s = max(confirmed_s + EVACUATE_S, thawed_s + STABLE_WINDOW_S) + 0.2
