--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -49,11 +49,6 @@
 OPERATOR_WAIT_S = 1.0  # without an answer, before another host is asked
 
 
-def trouble():
-    """Return whether the case plays with its disruption."""
-    return os.environ.get('TROUBLE', '1') != '0'
-
-
 class CannotRun(Exception):
     """The deployment did not come up, so the case says nothing."""
 
