Control hosts write again after their disk has refused

Change: log and vote go from memory to new files, which are synced as a whole, and only then is anything acknowledged, voted or counted. Until then a leader hands over and no entries are taken. A start writes what it has read to new files too, since it can stand in the page cache alone.

Ruled out: a later sync of the same descriptor, which proves nothing; the disk of tests/faulty_disk.py drops the pages, as a kernel may.

--- a/damasklanding/control/applier.py
+++ b/damasklanding/control/applier.py
@@ -95,4 +95,6 @@
             try:
                 take_snapshot(self._replica)
             except Unavailable:
-                self._replica.step_down('its log can not be compacted')
+                self._replica.hand_over_leadership(
+                    'its log can not be compacted'
+                )
--- a/damasklanding/control/election.py
+++ b/damasklanding/control/election.py
@@ -58,7 +58,7 @@
         needs no pre-vote.
     """
     replica.reset_election_timer()
-    if not replica.is_voter():
+    if not replica.is_voter() or replica.journal.error is not None:
         return
     if not transfer and not _wins_votes(
         replica, replica.term + 1, True, False
@@ -80,7 +80,12 @@
 
 
 def grant_vote(replica, request):
-    """Grant or refuse a vote; return the reply once it is durable."""
+    """
+    Grant or refuse a vote; return the reply once it is durable.
+
+    :raises Unavailable: the disk fails, so that no vote can be stored.
+    """
+    replica.journal.ensure_writable()
     granted = _may_grant(replica, request)
     if granted and not request.pre_vote:
         replica.observe_term(request.term)
--- a/damasklanding/control/follower.py
+++ b/damasklanding/control/follower.py
@@ -16,23 +16,29 @@
     """
     Append the leader's entries and return the reply once they are durable.
 
+    Entries are refused while the disk fails, so that the log in memory does
+    not grow.
+
     :raises CorruptStore: the leader sent an entry that differs from a
         committed one.
+    :raises Unavailable: the disk fails.
     """
     if request.term < replica.term:
         return _reply(replica, request, False, 0)
     replica.follow_leader(request.term, request.leader)
     if request.campaign:
         replica.election_requested.set()
+    if request.entries:
+        replica.journal.ensure_writable()
     retry_index = _append_new(replica, request)
     replica.journal.sync_vote()
     if retry_index is not None:
         return _reply(replica, request, False, retry_index)
-    if request.entries:
+    match_index = request.previous_index + len(request.entries)
+    if match_index > replica.journal.durable_index:
         replica.journal.sync()
     if replica.term != request.term:
         return _reply(replica, request, False, 0)
-    match_index = request.previous_index + len(request.entries)
     replica.commit(min(request.commit_index, match_index))
     return _reply(replica, request, True, match_index)
 
--- a/damasklanding/control/incarnation.py
+++ b/damasklanding/control/incarnation.py
@@ -17,6 +17,7 @@
 from damasklanding.control.storage import read_file
 from damasklanding.control.storage import write_file
 from damasklanding.errors import DamasklandingError
+from damasklanding.logs import StateLog
 from damasklanding.messages import StatusRequest
 
 __all__ = ['choose_incarnation', 'renew_incarnation', 'stored_incarnation']
@@ -39,7 +40,7 @@
     A folder bootstraps a new fleet only once every other control host has
     answered and none of them has ever stored a vote or an entry.  If any has,
     the fleet exists already, and the folder joins it with a random
-    incarnation.
+    incarnation.  Storing is tried until the disk takes it.
 
     :param names: names of the other control hosts.
     :param groups: names of the replication groups.
@@ -47,9 +48,16 @@
         that returns the reply.
     :param bootstrap: whether this host may bootstrap a new fleet.
     """
+    incarnation = os.urandom(8).hex()
     if bootstrap and _all_groups_empty(names, groups, send):
-        return in_thread(_store, folder, BOOTSTRAP_INCARNATION)
-    return in_thread(renew_incarnation, folder)
+        incarnation = BOOTSTRAP_INCARNATION
+    disk_log = StateLog()
+    while True:
+        try:
+            return in_thread(_store, folder, incarnation)
+        except OSError as error:
+            disk_log.note(folder, 'can not be written', str(error))
+            gevent.sleep(RETRY_MS / 1000)
 
 
 def renew_incarnation(folder):
--- a/damasklanding/control/journal.py
+++ b/damasklanding/control/journal.py
@@ -6,8 +6,14 @@
 follows the snapshot.  The log is a segment file of checksummed batches.  Each
 batch is synced before the next is written, so that a crash can leave only the
 last batch incomplete.
+
+After a failed write or sync the kernel may have dropped the unwritten pages
+and report so only once, so that a later sync of the same file proves nothing.
+The log and the vote are then written from memory to new files, and nothing
+counts as durable until these are synced.
 """
 
+from contextlib import suppress
 import glob
 import os
 
@@ -18,10 +24,12 @@
 
 from damasklanding.control.segment import encode_batch
 from damasklanding.control.segment import read_batches
+from damasklanding.control.storage import create_file
 from damasklanding.control.storage import in_thread
 from damasklanding.control.storage import read_file
 from damasklanding.control.storage import shielded
 from damasklanding.control.storage import sync_folder
+from damasklanding.control.storage import write_all
 from damasklanding.control.storage import write_file
 from damasklanding.errors import CorruptStore
 from damasklanding.errors import Unavailable
@@ -32,6 +40,8 @@
 VOTE_NAME = 'vote'
 SNAPSHOT_NAME = 'snapshot'
 SEGMENT_PATTERN = 'segment-*'
+#: Pause between two attempts to write to a disk that fails.
+DISK_RETRY_MS = 200
 
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -67,7 +77,8 @@
     :ivar base_index: index of the entry before the first one in the log.
     :ivar base_term: term of the entry at ``base_index``.
     :ivar log_bytes: size of the current segment file.
-    :ivar error: the error of the disk after which nothing is written, or None.
+    :ivar error: the error of the disk since which nothing could be written, or
+        None.
     :ivar snapshot: latest :class:`Snapshot`, an empty one if there is none.
     :ivar vote: :class:`Vote`, durable once :meth:`sync_vote` has returned.
     """
@@ -82,7 +93,7 @@
         self._pending_entries = []
         self._in_flight_entries = []
         self._rewrite_requested = False
-        self._stopping = False
+        self._stopping = Event()
         self._sync_file = sync_file
         self._requested_writes = 0
         self._completed_writes = 0
@@ -157,6 +168,20 @@
         self._requested_writes += 1
         self._write_requested.set()
 
+    def ensure_writable(self):
+        """
+        Return if the last write to the disk succeeded.
+
+        :raises Unavailable: if it failed or the journal is closed.
+        """
+        if self._stopping.is_set():
+            raise Unavailable(f'{self.folder} is closed')
+        if self.error is not None:
+            raise Unavailable(
+                f'{self.folder} can not be written ({self.error})',
+                'check the disk; writing is tried again until it succeeds',
+            )
+
     def sync(self):
         """
         Return once all entries appended before the call are durable.
@@ -165,9 +190,9 @@
         """
         target = self._requested_writes
         while self._completed_writes < target:
-            self._ensure_writable()
+            self.ensure_writable()
             self._write_completed.wait()
-        self._ensure_writable()
+        self.ensure_writable()
 
     def sync_vote(self):
         """Return once the current vote is durable."""
@@ -190,29 +215,41 @@
         :param flush: whether to sync first; otherwise entries that are not
             yet on disk are lost.
         """
-        if flush and self.error is None:
-            self.sync()
-        self._stopping = True
+        if flush:
+            with suppress(Unavailable):
+                self.sync()
+        self._stopping.set()
         self._write_requested.set()
         self._writer.join()
         self._notify_waiters()
         with self._vote_lock, self._snapshot_lock:
-            self._file.close()
+            self._close_file()
 
     def _store_vote(self):
         with self._vote_lock:
-            self._ensure_writable()
-            vote = self.vote
-            if vote != self._durable_vote:
-                self._run_write(self._write_vote, vote)
-                self._durable_vote = vote
+            self.ensure_writable()
+            try:
+                self._replace_vote()
+            except OSError as error:
+                self._record_failure(error)
+                self.ensure_writable()
+
+    def _replace_vote(self):
+        vote = self.vote
+        if vote != self._durable_vote:
+            in_thread(self._write_vote, vote)
+            self._durable_vote = vote
 
     def _store_snapshot(self, snapshot, keep_entries):
         with self._snapshot_lock:
-            self._ensure_writable()
+            self.ensure_writable()
             if snapshot.index <= self.snapshot.index:
                 return
-            self._run_write(self._write_snapshot, snapshot)
+            try:
+                in_thread(self._write_snapshot, snapshot)
+            except OSError as error:
+                self._record_failure(error)
+                self.ensure_writable()
             self.snapshot = snapshot
         if self.term_at(snapshot.index) == snapshot.term:
             self._drop_through(snapshot.index - keep_entries)
@@ -222,25 +259,12 @@
         self._requested_writes += 1
         self._write_requested.set()
 
-    def _run_write(self, function, value):
-        try:
-            in_thread(function, value)
-        except OSError as error:
-            self._record_failure(error)
-            self._ensure_writable()
-
     def _record_failure(self, error):
+        if self.error is None:
+            _log('error', '{} can not be written: {}', self.folder, error)
         self.error = error
-        _log_failure(self.folder, error)
-
-    def _ensure_writable(self):
-        if self._stopping:
-            raise Unavailable(f'{self.folder} is closed')
-        if self.error is not None:
-            raise Unavailable(
-                f'{self.folder} can not be written ({self.error})',
-                'check the disk and restart this control host',
-            )
+        self._write_requested.set()
+        self._notify_waiters()
 
     def _drop_through(self, index):
         count = index - self.base_index
@@ -260,39 +284,65 @@
         return os.path.join(self.folder, name)
 
     def _write_vote(self, vote):
-        write_file(self._path(VOTE_NAME), _encode(vote))
+        write_file(self._path(VOTE_NAME), _encode(vote), self._sync_file)
 
     def _write_snapshot(self, snapshot):
-        write_file(self._path(SNAPSHOT_NAME), _encode(snapshot))
+        data = _encode(snapshot)
+        write_file(self._path(SNAPSHOT_NAME), data, self._sync_file)
 
     def _write_loop(self):
-        while not self._stopping:
+        while not self._stopping.is_set():
             self._write_requested.wait()
             self._write_requested.clear()
-            try:
-                while (
-                    not self._stopping
-                    and self._completed_writes < self._requested_writes
-                ):
-                    self._write_pending()
-            except OSError as error:
-                self._record_failure(error)
-                self._notify_waiters()
-                return
+            while not self._stopping.is_set() and self._has_work():
+                try:
+                    if self.error is None:
+                        self._write_pending()
+                    else:
+                        self._write_to_new_files()
+                except OSError as error:
+                    self._record_failure(error)
+                    self._stopping.wait(DISK_RETRY_MS / 1000)
+
+    def _has_work(self):
+        return (
+            self.error is not None
+            or self._completed_writes < self._requested_writes
+        )
 
     def _write_pending(self):
         target = self._requested_writes
         self._in_flight_entries = self._pending_entries
         self._pending_entries = []
         if self._rewrite_requested:
-            self._rewrite_requested = False
-            in_thread(self._start_segment, self._encode_log())
+            self._rewrite_log()
         else:
             in_thread(self._write_batch, encode_batch(self._in_flight_entries))
         self._in_flight_entries = []
         self._completed_writes = target
         self._notify_waiters()
 
+    def _write_to_new_files(self):
+        """Write log and vote from memory to new files after a failure."""
+        target = self._requested_writes
+        self._in_flight_entries += self._pending_entries
+        self._pending_entries = []
+        self._rewrite_log()
+        self._in_flight_entries = []
+        self._completed_writes = target
+        with self._vote_lock:
+            self._replace_vote()
+        self.error = None
+        self._notify_waiters()
+        _log('info', '{} can be written again', self.folder)
+
+    def _rewrite_log(self):
+        if not self._segment_number:
+            in_thread(self._write_vote, Vote())
+        number = self._segment_number + 1
+        in_thread(self._start_segment, self._encode_log(), number)
+        self._rewrite_requested = False
+
     def _notify_waiters(self):
         event = self._write_completed
         self._write_completed = Event()
@@ -302,27 +352,31 @@
         return encode_batch(self._entries, self.base_index, self.base_term)
 
     def _write_batch(self, data):
-        self._file.write(data)
-        self._file.flush()
+        write_all(self._file, data)
         self._sync_file(self._file.fileno())
         self.log_bytes += len(data)
 
-    def _start_segment(self, data):
-        number = self._segment_number + 1
+    def _start_segment(self, data, number):
         path = self._path(f'segment-{number:012d}')
-        file = open(f'{path}.new', 'wb')  # noqa: SIM115
-        file.write(data)
-        file.flush()
-        self._sync_file(file.fileno())
-        os.rename(f'{path}.new', path)
-        sync_folder(self.folder)
-        if self._file is not None:
-            self._file.close()
+        file = create_file(f'{path}.new', data, self._sync_file)
+        try:
+            os.rename(f'{path}.new', path)
+            sync_folder(self.folder)
+        except OSError:
+            file.close()
+            raise
+        self._close_file()
         self._file = file
         self._segment_number = number
         self.log_bytes = len(data)
         self._remove_segments_before(number)
 
+    def _close_file(self):
+        if self._file is not None:
+            with suppress(OSError):
+                self._file.close()
+            self._file = None
+
     def _segment_paths(self):
         paths = sorted(glob.glob(self._path(SEGMENT_PATTERN)))
         return [path for path in paths if not path.endswith('.new')]
@@ -343,7 +397,7 @@
         self.vote = Vote()
         if vote is not None:
             self.vote = msgspec.msgpack.decode(vote, type=Vote)
-        self._durable_vote = self.vote
+        self._durable_vote = None
         self.snapshot = self._load_snapshot()
         if segments:
             self._load_segment(segments[-1])
@@ -351,9 +405,25 @@
         elif self.vote.term:
             raise CorruptStore(f'{self.folder} has a vote but no log')
         else:
-            self._write_vote(self.vote)
             self._clear_log(self.snapshot)
-            self._start_segment(self._encode_log())
+        try:
+            self._write_what_was_read()
+        except OSError as error:
+            self._in_flight_entries = list(self._entries)
+            self._record_failure(error)
+
+    def _write_what_was_read(self):
+        """
+        Write vote and log to new files.
+
+        What was read can stand in the page cache alone, if a sync failed
+        before an earlier process ended.
+        """
+        for path in glob.glob(self._path('*.new')):
+            os.unlink(path)
+        self._write_vote(self.vote)
+        self._durable_vote = self.vote
+        self._start_segment(self._encode_log(), max(1, self._segment_number))
 
     def _load_snapshot(self):
         data = read_file(self._path(SNAPSHOT_NAME))
@@ -374,13 +444,7 @@
             self._load_entries(path, batch)
         if not end:
             raise CorruptStore(f'{path} has no complete first batch')
-        self._file = open(path, 'r+b')  # noqa: SIM115
-        self._file.truncate(end)
-        self._file.seek(end)
-        os.fsync(self._file.fileno())
-        self.log_bytes = end
         self._segment_number = int(path.rpartition('-')[2])
-        self._remove_segments_before(self._segment_number)
 
     def _load_entries(self, path, batch):
         for row in batch.entries:
@@ -399,10 +463,9 @@
         if self.term_at(snapshot.index) == snapshot.term:
             return
         self._clear_log(snapshot)
-        self._start_segment(self._encode_log())
 
 
-def _log_failure(folder, error):
+def _log(level, text, *arguments):
     from loguru import logger
 
-    logger.error('{} can not be written: {}', folder, error)
+    logger.log(level.upper(), text, *arguments)
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -166,8 +166,8 @@
         :param transfer_leadership: whether a leader first lets another voter
             take over.
         """
-        if transfer_leadership and self.leadership is not None:
-            self._transfer_leadership()
+        if transfer_leadership:
+            self.hand_over_leadership('stopped')
         self._running = False
         self.step_down('stopped')
         gevent.killall(self._greenlets)
@@ -362,6 +362,15 @@
         self.proposals.fail_from(0)
         _log_info('{} stops leading {}: {}', self.name, self.group, reason)
 
+    def hand_over_leadership(self, reason):
+        """Let another voter take over and stop leading, if it leads."""
+        leadership = self.leadership
+        if leadership is None or leadership.is_transferring:
+            return
+        self._transfer_leadership()
+        if self.leadership is leadership:
+            self.step_down(reason)
+
     def append_as_leader(self, kind, payload):
         """Append an entry as leader and return its index."""
         entry = LogEntry(self.term, self.journal.last_index + 1, kind, payload)
@@ -386,7 +395,9 @@
         append_commit_marker(self.leadership)
         self.leadership.update_peers()
         if not self.is_voter():
-            gevent.spawn(self._step_down_as_non_voter)
+            gevent.spawn(
+                self.hand_over_leadership, 'this host is no longer a voter'
+            )
 
     def commit(self, index):
         """Advance the commit index and apply the entries up to it."""
@@ -471,10 +482,6 @@
         if not self._running:
             raise Unavailable(f'{self.name} is not running in its group')
 
-    def _step_down_as_non_voter(self):
-        self._transfer_leadership()
-        self.step_down('this host is no longer a voter')
-
     def _transfer_leadership(self):
         self.leadership.is_transferring = True
         with gevent.Timeout(LEADERSHIP_TRANSFER_TIMEOUT_MS / 1000, False):
--- a/damasklanding/control/replication.py
+++ b/damasklanding/control/replication.py
@@ -233,7 +233,7 @@
             try:
                 self.journal.sync()
             except DamasklandingError as error:
-                self.replica.step_down(str(error))
+                self.replica.hand_over_leadership(str(error))
                 return
             self.advance_commit()
 
--- a/damasklanding/control/snapshots.py
+++ b/damasklanding/control/snapshots.py
@@ -44,7 +44,12 @@
 
 
 def take_snapshot(replica):
-    """Store a snapshot of the applied state and compact the log."""
+    """
+    Store a snapshot of the applied state and compact the log.
+
+    :raises Unavailable: the disk fails.
+    """
+    replica.journal.ensure_writable()
     index = replica.applied_index
     snapshot = Snapshot(
         index,
@@ -116,6 +121,7 @@
         if request.term < replica.term:
             return self._reply(0)
         replica.follow_leader(request.term, request.leader)
+        replica.journal.ensure_writable()
         replica.journal.sync_vote()
         transfer_id = (request.term, request.leader, request.last_index)
         if request.offset == 0:
--- a/damasklanding/control/storage.py
+++ b/damasklanding/control/storage.py
@@ -7,6 +7,7 @@
 """
 
 from contextlib import contextmanager
+from contextlib import suppress
 import fcntl
 import os
 import struct
@@ -19,11 +20,13 @@
 from damasklanding.errors import DamasklandingError
 
 __all__ = [
+    'create_file',
     'in_thread',
     'locked_folder',
     'read_file',
     'shielded',
     'sync_folder',
+    'write_all',
     'write_file',
 ]
 
@@ -33,8 +36,17 @@
 
 
 def in_thread(function, *arguments):
-    """Run a blocking function in the thread pool and return its result."""
-    return gevent.get_hub().threadpool.apply(function, arguments)
+    """
+    Run a blocking function in the thread pool and return its result.
+
+    An expected error is passed on as a value, since the thread pool prints
+    the traceback of each error raised in it.
+    """
+    return _result_of(
+        gevent.get_hub().threadpool.apply(
+            _capture_outcome, (function, arguments)
+        )
+    )
 
 
 def shielded(function, *arguments):
@@ -43,7 +55,13 @@
 
     It runs to its end even if the calling greenlet is killed meanwhile.
     """
-    result, error = gevent.spawn(_capture_outcome, function, arguments).get()
+    return _result_of(
+        gevent.spawn(_capture_outcome, function, arguments).get()
+    )
+
+
+def _result_of(outcome):
+    result, error = outcome
     if error is not None:
         raise error
     return result
@@ -65,18 +83,47 @@
         os.close(descriptor)
 
 
-def write_file(path, data):
+def write_all(file, data):
+    """Write all bytes to an unbuffered file."""
+    view = memoryview(data)
+    while view:
+        view = view[file.write(view) :]
+
+
+def create_file(path, data, sync_file=os.fsync):
+    """
+    Create a file with the given data and return it, open for writing.
+
+    An existing file at the path is removed first, since pages of it can have
+    been dropped by a failed sync.  Blocks the thread until the data is
+    durable; the name is durable once the folder has been synced.
+
+    :raises OSError: the disk failed; no file is left.
+    """
+    with suppress(FileNotFoundError):
+        os.unlink(path)
+    file = open(path, 'wb', buffering=0)  # noqa: SIM115
+    try:
+        write_all(file, data)
+        sync_file(file.fileno())
+    except OSError:
+        with suppress(OSError):
+            file.close()
+        with suppress(OSError):
+            os.unlink(path)
+        raise
+    return file
+
+
+def write_file(path, data, sync_file=os.fsync):
     """
     Replace a file by data and its checksum.
 
     Blocks the thread until the file is durable.
     """
     temporary = f'{path}.new'
-    with open(temporary, 'wb') as file:
-        file.write(_CHECKSUM.pack(zlib.crc32(data)))
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
+    checksum = _CHECKSUM.pack(zlib.crc32(data))
+    create_file(temporary, checksum + data, sync_file).close()
     os.rename(temporary, path)
     sync_folder(os.path.dirname(path))
 
--- a/tests/replica_net.py
+++ b/tests/replica_net.py
@@ -10,6 +10,7 @@
 import random
 import shutil
 
+from faulty_disk import FaultyDisk
 import gevent
 import msgspec
 
@@ -105,6 +106,7 @@
 
     :ivar random: seeded source of delays, duplicates and election timeouts.
     :ivar incarnations: incarnation by name of the hosts in service.
+    :ivar disks: :class:`~faulty_disk.FaultyDisk` by name.
     :ivar isolated_hosts: hosts whose connections fail at once.
     :ivar silent_hosts: hosts whose connections lose every message, so that
         requests time out.
@@ -127,6 +129,7 @@
         self.initial_members = tuple(Member(name, name) for name in names)
         self.incarnations = dict.fromkeys(names, BOOTSTRAP_INCARNATION)
         self.replicas = {}
+        self.disks = {}
         self.isolated_hosts = set()
         self.silent_hosts = set()
         self.max_delay_ms = 0
@@ -137,8 +140,9 @@
             self.start(name)
 
     def start(self, name):
+        disk = self.disks.setdefault(name, FaultyDisk())
         journal = SlowVoteJournal(
-            os.path.join(self.folder, name), sync_file=lambda number: None
+            os.path.join(self.folder, name), sync_file=disk.sync
         )
         journal.vote_sync_delay_ms = self.vote_sync_delay_ms
         replica = Replica(
