Orders are carried out only while their sender waits

Cause: every order that is read is proposed, whatever its age and though its caller has closed; the entry applies to any state, and each copy has an id of its own.

Change: a host checks that the caller's connection is open and that the process has not just stood still, before each time that it sends the command. An evacuation names the revision of its data centre, taken from a state proved after the order came; where another change comes between it is decided anew, so that a copy of an order in force is confirmed.

Ruled out: the log applies entries in one order everywhere; whole configurations name the version that they build on.

--- a/damasklanding/control/admin.py
+++ b/damasklanding/control/admin.py
@@ -46,6 +46,7 @@
 from damasklanding.webapi import request_body
 from damasklanding.webapi import request_id
 from damasklanding.webapi import whole_number
+from damasklanding.wsgi import caller_waits
 
 __all__ = ['admin_app']
 
@@ -53,6 +54,7 @@
 MAX_HISTORY = 1_000
 POLL_MS = 5
 READ_OWN_WRITE_TIMEOUT_MS = 2_000
+PROPOSE_TIMEOUT_MS = 5_000
 
 #: Kind of resource by the path segment that names its collection.
 COLLECTIONS = {
@@ -103,8 +105,9 @@
     """
     Return the WSGI application of the administration API.
 
-    :param host: control host; ``view``, ``propose(envelope)``, ``status()``,
-        ``history(limit)`` and ``watchers()`` are used.
+    :param host: control host; ``view``, ``order(envelope, timeout_ms,
+        is_awaited)``, ``status()``, ``history(limit)`` and ``watchers()``
+        are used.
     :param tokens: :class:`damasklanding.operators.OperatorTokens`.
     :param metrics: counter of malformed and refused requests.
     :param telemetry: :class:`damasklanding.telemetry.FleetTelemetry`.
@@ -296,14 +299,14 @@
 def _propose(host, operator, command):
     resend_id = request_id()
     bottle.response.set_header('Request-Id', resend_id)
-    outcome = host.propose(
-        Envelope(
-            request_id=f'{operator}:{resend_id}',
-            operator=operator,
-            command=command,
-            expected_revision=expected_revision(),
-        )
+    envelope = Envelope(
+        request_id=f'{operator}:{resend_id}',
+        operator=operator,
+        command=command,
+        expected_revision=expected_revision(),
     )
+    is_awaited = caller_waits(bottle.request.environ)
+    outcome = host.order(envelope, PROPOSE_TIMEOUT_MS, is_awaited)
     if outcome.error:
         raise _error_from(outcome)
     _await_revision(host.view, outcome.revision)
--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -23,21 +23,27 @@
 from damasklanding.control.leases import LeaseManager
 from damasklanding.control.members import BOOTSTRAP_INCARNATION
 from damasklanding.control.members import Member
+from damasklanding.control.orders import always_awaited
+from damasklanding.control.orders import place_order
 from damasklanding.control.reconcile import MemberReconciler
 from damasklanding.control.replica import Replica
 from damasklanding.control.storage import locked_folder
 from damasklanding.errors import CorruptStore
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import LinkTimeout
+from damasklanding.errors import NotAwaited
 from damasklanding.errors import Unavailable
 from damasklanding.fleet.changes import put
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import Outcome
 from damasklanding.fleet.commands import PutControlHost
+from damasklanding.fleet.handlers import target_resource
 from damasklanding.fleet.resources import ControlHost as ControlHostResource
 from damasklanding.logs import StateLog
+from damasklanding.messages import Propose
 from damasklanding.node.view import FleetView
 from damasklanding.seeds import seed_hosts_reader
+from damasklanding.stalls import StallDetector
 
 __all__ = ['ControlHost', 'GroupStatus', 'HostStatus']
 
@@ -92,6 +98,7 @@
     :ivar config: :class:`Replica` of the configuration.
     :ivar leases: :class:`LeaseManager` for the leases of the nodes'
         registrations.
+    :ivar now_ms: clock.
     """
 
     def __init__(
@@ -115,7 +122,8 @@
         self.incarnation = ''
         self._pool = pool
         self._metrics = metrics
-        self._now_ms = now_ms
+        self.now_ms = now_ms
+        self._stalls = StallDetector(now_ms)
         self._timing = timing
         self._replicas = {}
         self._greenlet = None
@@ -162,7 +170,7 @@
             journal,
             state_machine,
             self._send,
-            now_ms=self._now_ms,
+            now_ms=self.now_ms,
             timing=self._timing,
             metrics=self._metrics,
         )
@@ -171,34 +179,77 @@
 
     def handlers(self):
         """Return the link handlers of the control role."""
-        return {**group_handlers(self._replicas), **self.leases.handlers()}
+        handlers = {
+            **group_handlers(self._replicas),
+            **self.leases.handlers(),
+        }
+        propose = handlers[Propose]
+
+        def propose_unless_old(exchange, message):
+            self._require_no_stall()
+            return propose(exchange, message)
+
+        return {**handlers, Propose: propose_unless_old}
 
     def start(self):
         """Join the groups as soon as the incarnation is known."""
+        self._stalls.start()
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self):
         """Hand over leadership, leave the groups and unlock the folder."""
         if self._greenlet is not None:
             self._greenlet.kill()
+        self._stalls.stop()
         self.leases.stop()
         self._reconciler.stop()
         for replica in self._replicas.values():
             replica.stop()
         self._resources.close()
 
-    def propose(self, envelope, timeout_ms=PROPOSE_TIMEOUT_MS):
+    def order(self, envelope, timeout_ms, is_awaited):
+        """
+        Carry out a command whose sender may send it to other hosts as well.
+
+        Without an answer in time the sender goes on elsewhere, so that an
+        order whose sender has closed its connection, or that was read after
+        this process had stood still, is not carried out.
+
+        :param envelope: without a request id, the command must have no
+            precondition and no outcome ``conflict`` of its own.
+        :param is_awaited: function that returns whether the sender still
+            waits.
+        :return: :class:`Outcome`.
+        :raises NotAwaited: the sender may have given up.
+        :raises Unavailable: the outcome is unknown, or no leader was found.
+        """
+        if self._stalls.may_read_old_input():
+            raise NotAwaited('this host has just stood still for a while')
+        if envelope.request_id:
+            return self.propose(envelope, timeout_ms, is_awaited)
+        target = target_resource(envelope.command)
+        return place_order(self, envelope, target, is_awaited, timeout_ms)
+
+    def propose(
+        self,
+        envelope,
+        timeout_ms=PROPOSE_TIMEOUT_MS,
+        is_awaited=always_awaited,
+    ):
         """
         Propose a command and resend it until there is an outcome.
 
+        :param is_awaited: function that returns whether the command is still
+            wanted.
         :return: :class:`Outcome`.
+        :raises NotAwaited: the command is no longer wanted.
         :raises Unavailable: the outcome is unknown, or no leader was found.
         """
         if not envelope.issued_at_ms:
             envelope = msgspec.structs.replace(
                 envelope, issued_at_ms=wall_ms()
             )
-        data = self._propose(self.config, _encode(envelope), timeout_ms)
+        data = self._propose(_encode(envelope), timeout_ms, is_awaited)
         return _decode_outcome(data)
 
     def current_document(self):
@@ -232,6 +283,13 @@
             tuple(map(_group_status, self._replicas.values())),
         )
 
+    def _require_no_stall(self):
+        if self._stalls.may_read_old_input():
+            raise Unavailable(
+                'this host has just stood still for a while',
+                'send the same request again',
+            )
+
     def _propose_command(self, command):
         self.propose(
             Envelope(
@@ -264,12 +322,14 @@
         self._reconciler.start()
         self._announce()
 
-    def _propose(self, replica, payload, timeout_ms):
-        deadline_ms = self._now_ms() + timeout_ms
+    def _propose(self, payload, timeout_ms, is_awaited):
+        deadline_ms = self.now_ms() + timeout_ms
         while True:
-            left_ms = deadline_ms - self._now_ms()
+            left_ms = deadline_ms - self.now_ms()
             try:
-                return replica.propose(payload, max(left_ms, 1))
+                return self.config.propose(
+                    payload, max(left_ms, 1), is_awaited=is_awaited
+                )
             except Unavailable:
                 if left_ms <= RETRY_MS:
                     raise
@@ -311,20 +371,20 @@
 
     def _keep_announced(self, host, envelope):
         """Announce this host whenever the group does not list it."""
-        unconfirmed_since_ms = self._now_ms()
+        unconfirmed_since_ms = self.now_ms()
         if self.config.membership.get(self.settings.name) is None:
             unconfirmed_since_ms -= UNCONFIRMED_LIMIT_MS
         while True:
             is_confirmed = self.view.age_ms() < UNCONFIRMED_LIMIT_MS
             if is_confirmed:
-                unconfirmed_since_ms = self._now_ms()
+                unconfirmed_since_ms = self.now_ms()
             if is_confirmed and not put(
                 self.view.state, 'control_host', host, 0
             ):
                 self._join_log.note('control host', 'known to the others')
             elif (
                 is_confirmed
-                or self._now_ms() - unconfirmed_since_ms > UNCONFIRMED_LIMIT_MS
+                or self.now_ms() - unconfirmed_since_ms > UNCONFIRMED_LIMIT_MS
             ):
                 try:
                     self._propose_announcement(envelope, is_confirmed)
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -24,6 +24,8 @@
 from damasklanding.control.members import decode_change
 from damasklanding.control.members import decode_members
 from damasklanding.control.members import encode_members
+from damasklanding.control.orders import always_awaited
+from damasklanding.control.orders import require_awaited
 from damasklanding.control.proposals import Proposals
 from damasklanding.control.replication import Leadership
 from damasklanding.control.snapshots import SnapshotReceiver
@@ -176,7 +178,13 @@
         """Return the handlers of this group's messages by message class."""
         return self._handlers
 
-    def propose(self, payload, timeout_ms=PROPOSE_TIMEOUT_MS, kind='command'):
+    def propose(
+        self,
+        payload,
+        timeout_ms=PROPOSE_TIMEOUT_MS,
+        kind='command',
+        is_awaited=always_awaited,
+    ):
         """
         Append a command to the log and wait until it has been applied.
 
@@ -187,7 +195,10 @@
             which the state machine recognises it.
         :param kind: ``members`` if the payload is a
             :class:`~damasklanding.control.members.MemberChange`.
+        :param is_awaited: function that returns whether the command is still
+            wanted; checked before each time that it is sent.
         :return: bytes that ``apply`` of the state machine returned.
+        :raises NotAwaited: the command is no longer wanted.
         :raises NotLeader: no leader was found; the command was not proposed.
         :raises TooLarge: the payload is larger than 1 MiB.
         :raises Unavailable: it is unknown whether the command was committed.
@@ -198,6 +209,7 @@
         timeout_error = None
         while True:
             left_ms = deadline_ms - self.now_ms()
+            require_awaited(is_awaited)
             if self._can_append():
                 return self._propose_locally(kind, payload, left_ms)
             if left_ms <= 0 or not self._running:
--- a/damasklanding/errors.py
+++ b/damasklanding/errors.py
@@ -24,6 +24,7 @@
     'KeyReused',
     'LinkClosed',
     'LinkTimeout',
+    'NotAwaited',
     'NotFound',
     'NotImplementedHere',
     'NotInForce',
@@ -173,6 +174,14 @@
     remedy = 'try another control host'
 
 
+class NotAwaited(DamasklandingError):
+    """The sender of an order may have given it up; it was not carried out."""
+
+    code = 'not-awaited'
+    http_status = 503
+    remedy = 'send the order again, if it is still wanted'
+
+
 class NotInForce(DamasklandingError):
     """An accepted change that some processes have not applied in time."""
 
--- a/damasklanding/node/disconnect.py
+++ b/damasklanding/node/disconnect.py
@@ -7,10 +7,12 @@
 
 from contextlib import contextmanager
 from functools import partial
-import socket
 
 import gevent
 
+from damasklanding.sockets import has_input
+from damasklanding.sockets import peer_has_closed
+
 __all__ = ['CallerDisconnected', 'DisconnectWatcher', 'always_cancel']
 
 READ = 1  # event of an io watcher
@@ -70,10 +72,7 @@
 
     def has_input(self):
         """Return whether the caller has sent bytes that were not read."""
-        try:
-            return bool(self._peek())
-        except OSError:
-            return False
+        return has_input(self._sock)
 
     def start(self, should_cancel):
         """
@@ -102,24 +101,7 @@
         greenlet = self._greenlet
         if (
             greenlet is not None
-            and self._caller_has_closed()
+            and peer_has_closed(self._sock)
             and self._should_cancel()
         ):
             greenlet.kill(CallerDisconnected, block=False)
-
-    def _caller_has_closed(self):
-        try:
-            return not self._peek()
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
-    def _peek(self):
-        sock = self._sock
-        timeout = sock.gettimeout()
-        sock.settimeout(0.0)
-        try:
-            return sock.recv(1, socket.MSG_PEEK)
-        finally:
-            sock.settimeout(timeout)
--- a/damasklanding/platform/operators.py
+++ b/damasklanding/platform/operators.py
@@ -17,6 +17,7 @@
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import SetDataCentre
 from damasklanding.platform.documents import decode_configuration
+from damasklanding.wsgi import caller_waits
 
 __all__ = ['operator_app']
 
@@ -43,13 +44,12 @@
         bottle.response.content_type = JSON_TYPE
         return {'error': error.code, 'detail': error.problem}
 
-    def propose(command):
+    def propose(command, request_id=''):
         envelope = Envelope(
-            request_id=f'{OPERATOR}-{os.urandom(8).hex()}',
-            operator=OPERATOR,
-            command=command,
+            request_id=request_id, operator=OPERATOR, command=command
         )
-        outcome = host.propose(envelope, PROPOSE_TIMEOUT_MS)
+        is_awaited = caller_waits(bottle.request.environ)
+        outcome = host.order(envelope, PROPOSE_TIMEOUT_MS, is_awaited)
         if outcome.error:
             bottle.response.status = _STATUSES.get(outcome.error, 400)
             return {'error': outcome.error, 'detail': outcome.problem}
@@ -73,7 +73,9 @@
         data = bottle.request.body.read(MAX_DOCUMENT_BYTES)
         if length >= 0 and len(data) < length:
             raise BadInput('the document was cut short')
-        return propose(decode_configuration(data))
+        # Its base version and digest tell copies and later changes apart.
+        request_id = f'{OPERATOR}-{os.urandom(8).hex()}'
+        return propose(decode_configuration(data), request_id)
 
     @app.get('/config')
     @convert_errors
--- a/damasklanding/wsgi.py
+++ b/damasklanding/wsgi.py
@@ -13,7 +13,17 @@
 from gevent.pywsgi import WSGIHandler
 from gevent.pywsgi import WSGIServer
 
-__all__ = ['DrainingServer', 'NoDelayHandler', 'accept_waiting', 'wsgi_server']
+from damasklanding.sockets import peer_has_closed
+
+__all__ = [
+    'DrainingServer',
+    'NoDelayHandler',
+    'accept_waiting',
+    'caller_waits',
+    'wsgi_server',
+]
+
+_IS_AWAITED = 'damasklanding.is_awaited'
 
 DRAIN_POLL_S = 0.01
 
@@ -52,6 +62,15 @@
         self.server.running += 1
         return super().read_requestline()
 
+    def get_environ(self):
+        """Return the environment of the request that was read."""
+        environ = super().get_environ()
+        environ[_IS_AWAITED] = self._is_awaited
+        return environ
+
+    def _is_awaited(self):
+        return self.socket is not None and not peer_has_closed(self.socket)
+
     def start_response(self, status, headers, exc_info=None):
         """Store status and headers until the first part of the body."""
         if self.server.draining:
@@ -102,6 +121,11 @@
             server.do_handle(*accepted)
 
 
+def caller_waits(environ):
+    """Return a function that tells whether the caller of a request waits."""
+    return environ.get(_IS_AWAITED, lambda: True)
+
+
 def wsgi_server(address, app):
     """
     Return a server that is not started yet.
--- a/tests/fakes_admin.py
+++ b/tests/fakes_admin.py
@@ -36,6 +36,10 @@
         self.watching = []
         self.last_operators = {}
 
+    def order(self, envelope, _timeout_ms, is_awaited):
+        assert is_awaited()
+        return self.propose(envelope)
+
     def propose(self, envelope):
         self.envelopes.append(envelope)
         known = self.outcomes.get(envelope.request_id)
