One holder gives out an organisation's allowance at a time

Cause: an owner without proof sends nodes to their local shares, which begin full although the burst was used through the owner, and go on filling while the owner issues; the owner's bucket fills on while the shares give out the rate.

Change: an owner without proof that reaches all nodes, none of which has a younger proof, goes on issuing from its one bucket; where it reaches a part of them, it issues that part. Local shares begin empty each time the owner falls silent. What they admit is told to an owner that answers again in the same epoch, which takes it off its bucket.

Ruled out: the owner's bucket by itself and handovers, test_budget_fuzz.py.

In simulated time an organisation within its rate is served as before without a quorum.

--- a/damasklanding/budget/bucket.py
+++ b/damasklanding/budget/bucket.py
@@ -159,6 +159,10 @@
         else:
             issues.append(_Issue(self._serial, now_ms, tokens))
 
+    def charge(self, tokens, now_ms):
+        """Take tokens that were given out elsewhere, also below level 0."""
+        self._record_issue(tokens, now_ms)
+
     def take_back(self, serial, returned, now_ms):
         """
         Take back unused tokens of an issue that has not expired.
--- a/damasklanding/budget/owner.py
+++ b/damasklanding/budget/owner.py
@@ -17,6 +17,7 @@
 from damasklanding.budget.bucket import MAX_RESERVE_MS
 from damasklanding.budget.bucket import Bucket
 from damasklanding.budget.bucket import plan_bucket
+from damasklanding.budget.pool import PartialPool
 from damasklanding.errors import BadInput
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import StaleState
@@ -27,10 +28,12 @@
 from damasklanding.messages import GrantRequest
 from damasklanding.messages import GrantReturn
 from damasklanding.messages import Handover
+from damasklanding.messages import ProofAgeRequest
 
 __all__ = ['MAX_OWNER_VIEW_AGE_MS', 'START_DELAY_MS', 'BudgetOwner']
 
-#: An owner whose view was confirmed longer ago issues no tokens.
+#: An owner whose view was confirmed longer ago issues no tokens, or only the
+#: part of the nodes that ask it.
 MAX_OWNER_VIEW_AGE_MS = 1_500
 #: An owner whose view was confirmed longer ago hands nothing over.
 MAX_HANDOVER_VIEW_AGE_MS = 600
@@ -71,11 +74,16 @@
 
 @dataclass(slots=True)
 class _BucketEntry:
-    """The bucket of one organisation, with the limits it was sized for."""
+    """
+    The bucket of one organisation, with the limits it was sized for.
+
+    :ivar pool: :class:`PartialPool` while the owner has no recent proof.
+    """
 
     bucket: Bucket
     rate_per_s: float
     burst_requests: int
+    pool: PartialPool | None = None
 
 
 @dataclass(slots=True)
@@ -105,10 +113,21 @@
     :param metrics: :class:`damasklanding.metrics.Metrics`.
     :param pool: :class:`damasklanding.linkpool.LinkPool`, for handovers.
     :param spawn: starts a function in the background.
+    :param reach: :class:`~damasklanding.budget.reach.Reach`, if an owner
+        without a recent proof issues the part of the nodes that it reaches;
+        None if it then issues nothing.
     """
 
     def __init__(
-        self, view, name, instance, now_ms, metrics, pool, spawn=gevent.spawn
+        self,
+        view,
+        name,
+        instance,
+        now_ms,
+        metrics,
+        pool,
+        spawn=gevent.spawn,
+        reach=None,
     ):
         self._view = view
         self._name = name
@@ -117,6 +136,7 @@
         self._metrics = metrics
         self._pool = pool
         self._spawn = spawn
+        self._reach = reach
         self._ownerships = {}
         self._early_handovers = {}
         self._handovers_in_flight = 0
@@ -126,11 +146,16 @@
 
     def handlers(self):
         """Return the message handlers by message class."""
-        return {
+        handlers = {
             GrantRequest: lambda _exchange, message: self.grant(message),
             GrantReturn: lambda _exchange, message: self.take_back(message),
             Handover: lambda _exchange, message: self.accept_handover(message),
         }
+        if self._reach is not None:
+            handlers[ProofAgeRequest] = lambda _exchange, message: (
+                self._reach.handle(message)
+            )
+        return handlers
 
     def owns(self, shard):
         """Return whether the configuration assigns a shard to this process."""
@@ -149,11 +174,15 @@
         :raises Unavailable: if this node may not issue tokens now.
         """
         now_ms = self._now_ms()
+        if self._reach is not None:
+            self._reach.note_heard(message.node)
         ownership = self._require_ownership(
             message.organisation, message.epoch
         )
         entry = self._bucket_entry(ownership, message.organisation, now_ms)
-        grant = _issue_grant(entry.bucket, message, ownership.epoch, now_ms)
+        entry.bucket.charge(min(message.spent, MAX_WANTED_TOKENS), now_ms)
+        self._update_pool(entry, now_ms)
+        grant = _issue_grant(entry, message, ownership.epoch, now_ms)
         issued = grant.tokens + grant.later
         self._metrics.add('grants_total', 'granted' if issued else 'dry')
         return grant
@@ -165,9 +194,11 @@
         )
         entry = ownership.entries.get(message.organisation)
         if entry is not None:
-            entry.bucket.take_back(
+            accepted = entry.bucket.take_back(
                 message.serial, message.returned, self._now_ms()
             )
+            if entry.pool is not None:
+                entry.pool.change(accepted)
             self._metrics.add('grants_total', 'returned')
         return Accepted()
 
@@ -208,7 +239,9 @@
                 'ask the owner that the configuration names',
                 retry_after_ms=100,
             )
-        if self._view.age_ms() >= MAX_OWNER_VIEW_AGE_MS:
+        if not self._has_proof() and (
+            self._reach is None or self._reach.peer_has_proof()
+        ):
             raise StaleState(
                 f'{self._name} has no recent proof that it owns the budget',
                 retry_after_ms=200,
@@ -221,6 +254,18 @@
             )
         return ownership
 
+    def _has_proof(self):
+        return self._view.age_ms() < MAX_OWNER_VIEW_AGE_MS
+
+    def _update_pool(self, entry, now_ms):
+        if self._has_proof():
+            entry.pool = None
+            return
+        if entry.pool is None:
+            bucket = entry.bucket
+            entry.pool = PartialPool(bucket.level(now_ms), bucket.plan, now_ms)
+        entry.pool.set_part(self._reach.part(), now_ms)
+
     def _bucket_entry(self, ownership, name, now_ms):
         organisation = self._view.state.get('organisation', name)
         if organisation is None:
@@ -239,6 +284,7 @@
             ownership.entries[name] = entry
         elif (entry.rate_per_s, entry.burst_requests) != (rate, burst):
             entry.bucket.set_plan(plan_bucket(rate, burst), now_ms)
+            entry.pool = None
             entry.rate_per_s = rate
             entry.burst_requests = burst
         return entry
@@ -327,14 +373,21 @@
             self._handovers_in_flight -= 1
 
 
-def _issue_grant(bucket, message, epoch, now_ms):
+def _issue_grant(entry, message, epoch, now_ms):
+    bucket = entry.bucket
+    pool = entry.pool
     waiting = min(message.waiting, MAX_WANTED_TOKENS)
     wanted = min(message.wanted, MAX_WANTED_TOKENS)
+    if pool is not None:
+        wanted = min(wanted, pool.tokens(now_ms))
     serial = bucket.next_serial()
     tokens = bucket.issue(wanted, waiting, now_ms)
     later_ms = bucket.ms_to_next_token(now_ms)
     later = 0
-    if waiting > tokens:
+    if pool is not None:
+        pool.change(-tokens)
+        later_ms = max(later_ms, pool.ms_to_next_token(now_ms))
+    elif waiting > tokens:
         later = bucket.reserve(waiting - tokens, message.wait_ms, now_ms)
     return Grant(
         epoch=epoch,
@@ -344,8 +397,8 @@
         later=later,
         later_ms=later_ms if later else 0.0,
         spacing_ms=1.0 / bucket.plan.rate_per_ms,
-        next_ms=bucket.ms_to_next_token(now_ms),
-        scarce=bucket.is_scarce(now_ms),
+        next_ms=bucket.ms_to_next_token(now_ms) if pool is None else later_ms,
+        scarce=pool is not None or bucket.is_scarce(now_ms),
     )
 
 
--- a/damasklanding/budget/rate_limiter.py
+++ b/damasklanding/budget/rate_limiter.py
@@ -141,8 +141,8 @@
             if not cache.refilling and batch.tokens <= cache.low_watermark:
                 self._prefetch(cache, now_ms)
             return self._put_back_function(cache, batch)
-        if now_ms < cache.fallback_until_ms and self._shares.take(
-            organisation, cache.share_ratio, now_ms
+        if now_ms < cache.fallback_until_ms and self._take_from_share(
+            cache, organisation, now_ms
         ):
             return _put_nothing_back
         return self._wait_for_token(cache, organisation, wait_ms, now_ms)
@@ -280,19 +280,36 @@
         """Admit from the local share while the owner does not issue."""
         if self._shares is None:
             return
-        answered = getattr(error, 'reply', None) is not None
-        share_ratio = SILENT_OWNER_SHARE_RATIO
-        if answered or isinstance(error, StaleState):
-            share_ratio = IDLE_OWNER_SHARE_RATIO
+        shard = self._view.state.get('budget_shard', cache.shard_name)
+        is_local = shard is not None and self._owner.owns(shard)
+        answered = is_local or getattr(error, 'reply', None) is not None
+        keeps_bucket = isinstance(error, StaleState) or not answered
+        cache.share_ratio = (
+            IDLE_OWNER_SHARE_RATIO if answered else SILENT_OWNER_SHARE_RATIO
+        )
+        cache.spent_epoch = shard.revision if keeps_bucket and shard else 0
         now_ms = self._now_ms()
-        cache.share_ratio = share_ratio
         cache.fallback_until_ms = now_ms + FALLBACK_MS
         cache.admit_uncovered(
-            lambda waiter: self._shares.take(
-                waiter.organisation, share_ratio, now_ms
+            lambda waiter: self._take_from_share(
+                cache, waiter.organisation, now_ms
             )
         )
 
+    def _take_from_share(self, cache, organisation, now_ms):
+        """
+        Admit a request from the local share, if that allows it.
+
+        An owner without proof, or that does not answer, goes on with its
+        bucket later and is told what was admitted meanwhile.  A new owner
+        begins with an empty one.
+        """
+        if not self._shares.take(organisation, cache.share_ratio, now_ms):
+            return False
+        if cache.spent_epoch:
+            cache.spent += 1
+        return True
+
     def _request_grant(self, cache, wanted, waiting, now_ms):
         shard = self._view.state.get('budget_shard', cache.shard_name)
         if shard is None or not shard.owner:
@@ -300,6 +317,8 @@
                 f'the budget of {cache.name} has no owner',
                 retry_after_ms=OWNER_RETRY_MS,
             )
+        if cache.spent_epoch != shard.revision:
+            cache.spent = 0
         due_by_ms = max((w.due_by_ms for w in waiting), default=now_ms)
         message = GrantRequest(
             organisation=cache.name,
@@ -308,17 +327,24 @@
             waiting=len(waiting),
             wait_ms=max(0, math.floor(due_by_ms - now_ms)),
             node=self._name,
+            spent=cache.spent,
         )
         if self._owner.owns(shard):
-            return self._owner.grant(message)
-        return self._pool.request(
-            shard.peer_address, message, OWNER_REQUEST_TIMEOUT_MS
-        )
+            grant = self._owner.grant(message)
+        else:
+            grant = self._pool.request(
+                shard.peer_address, message, OWNER_REQUEST_TIMEOUT_MS
+            )
+        cache.spent -= message.spent
+        return grant
 
     def _store_grant(self, cache, grant, sent_ms):
         cache.ttl_ms = grant.ttl_ms
         cache.scarce = grant.scarce
         cache.owner_problem = ''
+        if self._shares is not None:
+            cache.fallback_until_ms = 0.0
+            self._shares.end(cache.name)
         received = ReceivedGrant(grant.epoch, grant.serial, grant.ttl_ms)
         if grant.tokens:
             cache.batches.append(TokenBatch(received, grant.tokens, sent_ms))
--- a/damasklanding/budget/shares.py
+++ b/damasklanding/budget/shares.py
@@ -2,15 +2,20 @@
 damasklanding.budget.shares
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Rate limiting at an entry node while no budget owner issues tokens.  Each node
-admits an equal share of an organisation's rate and burst, so that all nodes
-together stay within them.
+Rate limiting at an entry node while no budget owner answers.  Each node admits
+an equal share of an organisation's rate, so that all nodes together stay
+within it.  A share begins empty, since the burst can have been used up through
+the owner, and it gains nothing from times in which the owner answered.
 """
 
 from dataclasses import dataclass
 
 __all__ = ['LocalShares']
 
+#: A share that is not asked for longer gains no more in that time, since the
+#: owner can have answered other nodes meanwhile.
+MAX_GAIN_MS = 1_000
+
 
 @dataclass(slots=True)
 class _ShareBucket:
@@ -45,13 +50,18 @@
         bucket = self._buckets.get(organisation.name)
         if bucket is None:
             bucket = self._buckets[organisation.name] = _ShareBucket(
-                capacity, now_ms
+                0.0, now_ms
             )
         rate_per_ms = share * organisation.rate_per_s / 1000.0
-        gained = max(0.0, now_ms - bucket.refilled_ms) * rate_per_ms
+        passed_ms = max(0.0, now_ms - bucket.refilled_ms)
+        gained = min(passed_ms, MAX_GAIN_MS) * rate_per_ms
         bucket.tokens = min(capacity, bucket.tokens + gained)
         bucket.refilled_ms = now_ms
         if bucket.tokens < 1.0:
             return False
         bucket.tokens -= 1.0
         return True
+
+    def end(self, name):
+        """Drop the share of an organisation whose owner has answered."""
+        self._buckets.pop(name, None)
--- a/damasklanding/budget/token_cache.py
+++ b/damasklanding/budget/token_cache.py
@@ -113,6 +113,9 @@
     :ivar fallback_until_ms: time until which requests are admitted from the
         node's local share, since the owner did not issue tokens.
     :ivar share_ratio: part of the local share that may be used until then.
+    :ivar spent: requests admitted from the local share that the owner of
+        ``spent_epoch`` has to take off its bucket and has not been told of.
+    :ivar spent_epoch: 0 if the share is used in place of a new owner.
     :ivar owner_problem: why the owner issued nothing at the last attempt,
         empty if it answered.
     :ivar request_count: requests in the current window of the demand.
@@ -132,6 +135,8 @@
         'next_token_ms',
         'fallback_until_ms',
         'share_ratio',
+        'spent',
+        'spent_epoch',
         'owner_problem',
         'request_count',
         'low_watermark',
@@ -153,6 +158,8 @@
         self.next_token_ms = 0.0
         self.fallback_until_ms = 0.0
         self.share_ratio = 0.0
+        self.spent = 0
+        self.spent_epoch = 0
         self.owner_problem = ''
         self.request_count = 0
         self.low_watermark = 0
@@ -169,6 +176,7 @@
             or self.waiters
             or self.refilling
             or self.reserved
+            or self.spent
             or self.request_count
             or self._demand_per_ms
         )
--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -286,6 +286,7 @@
             monotonic_ms,
             daemon.metrics,
             daemon.pool,
+            reach=self._reach(daemon.pool, identity),
         )
         self.rate_limiter = RateLimiter(
             self.view,
@@ -393,6 +394,19 @@
             return True
         return self.view.state.get('service', name) is not None
 
+    def _reach(self, pool, identity):
+        from damasklanding.budget.reach import Reach
+
+        if not self.interface.issues_without_proof:
+            return None
+        return Reach(
+            self.view,
+            identity.name,
+            monotonic_ms,
+            pool,
+            random.Random(identity.instance),
+        )
+
     def _owner_count(self):
         """Return the number of nodes; each owns some of the shards."""
         position = self.view.state.position()
--- a/damasklanding/interfaces.py
+++ b/damasklanding/interfaces.py
@@ -39,6 +39,8 @@
     :ivar throttle_settings: returns how much of failing chains is let through.
     :ivar rate_options: of a function that counts nodes; arguments of
         :class:`~damasklanding.budget.rate_limiter.RateLimiter`.
+    :ivar issues_without_proof: whether budget owners issue a part of their
+        budgets while the control hosts can't be reached.
     :ivar node_services: of the node role; further listeners.
     :ivar leave: of the node role and the drain timeout; serves callers until
         they have gone, and returns the milliseconds left for draining and,
@@ -50,6 +52,7 @@
     limiter: object
     throttle_settings: object
     rate_options: object
+    issues_without_proof: bool
     node_services: object
     leave: object
 
@@ -157,6 +160,7 @@
         limiter=_own_limiter,
         throttle_settings=_own_throttle_settings,
         rate_options=lambda _count_nodes: {},
+        issues_without_proof=False,
         node_services=lambda _role: [],
         leave=_own_leave,
     ),
@@ -166,6 +170,7 @@
         limiter=_platform_limiter,
         throttle_settings=_platform_throttle_settings,
         rate_options=_platform_rate_options,
+        issues_without_proof=True,
         node_services=_platform_node_services,
         leave=_platform_leave,
     ),
--- a/damasklanding/messages.capnp
+++ b/damasklanding/messages.capnp
@@ -48,6 +48,9 @@
     resume @35 :Void;         # encoded by msgspec
     # Requests that crash backend servers
     crashNews @36 :CrashNews;
+    # Proofs of the configuration
+    proofAgeRequest @37 :ProofAgeRequest;
+    proofAgeReply @38 :ProofAgeReply;
   }
 }
 
@@ -213,6 +216,14 @@
 struct RenewLeases { names @0 :List(Text); instances @1 :List(Text); seq @2 :UInt64; }
 struct RenewReply { seq @0 :UInt64; term @1 :UInt64; ageMs @2 :UInt32; commitIndex @3 :UInt64; }
 
+struct ProofAgeRequest {
+  node @0 :Text;
+}
+
+struct ProofAgeReply {
+  ageMs @0 :UInt32;
+}
+
 struct GrantRequest {
   organisation @0 :Text;
   epoch @1 :UInt64;
@@ -220,6 +231,7 @@
   waiting @3 :UInt32;
   waitMs @4 :UInt32;
   node @5 :Text;
+  spent @6 :UInt32;
 }
 
 struct Grant {
--- a/damasklanding/messages.py
+++ b/damasklanding/messages.py
@@ -40,6 +40,8 @@
     'Pong',
     'Problem',
     'Proof',
+    'ProofAgeReply',
+    'ProofAgeRequest',
     'Propose',
     'ProposeReply',
     'RenewLeases',
@@ -524,6 +526,8 @@
     :ivar waiting: how many of these tokens queued requests wait for; requests
         that arrive later queue as well.
     :ivar wait_ms: longest time that one of these requests may wait.
+    :ivar spent: requests that the sender has admitted from its local share in
+        this epoch, while the owner did not answer, and not reported yet.
     """
 
     organisation: str
@@ -532,6 +536,7 @@
     waiting: int
     wait_ms: int
     node: str
+    spent: int = 0
 
 
 @message('grant')
@@ -614,3 +619,21 @@
     news: bytes = b''
     known: bytes = b''
     fetches: bool = False
+
+
+@message('proofAgeRequest')
+class ProofAgeRequest:
+    """Asks a node how old its proof of the configuration is."""
+
+    node: str
+
+
+@message('proofAgeReply')
+class ProofAgeReply:
+    """
+    Tells how old the proof of a node's configuration is.
+
+    :ivar age_ms: :data:`NEVER_CONFIRMED_AGE_MS` without a proof.
+    """
+
+    age_ms: int
