A silent or new owner leaves an organisation within its rate served

What callers saw: with shares that begin empty, an organisation within its rate was refused more than before for some seconds after its owner had ended without notice.

Change: a new owner on the platform issues the rate at once, from an empty bucket, and adds what a handover brings; before, local shares stood in for it. A node that an owner does not answer asks four others whether they hear of it; if none does, the shares are the whole rate instead of 0.4 of it.

--- a/damasklanding/budget/owner.py
+++ b/damasklanding/budget/owner.py
@@ -92,12 +92,14 @@
     One shard that this node owns.
 
     :ivar ready_at_ms: time from which tokens are issued.
+    :ivar handover_until_ms: time until which a handover is accepted.
     :ivar empty_at_ms: time at which all buckets of the shard were empty.
     :ivar entries: :class:`_BucketEntry` by organisation.
     """
 
     epoch: int
     ready_at_ms: float
+    handover_until_ms: float
     empty_at_ms: float
     entries: dict = field(default_factory=dict)
 
@@ -114,8 +116,9 @@
     :param pool: :class:`damasklanding.linkpool.LinkPool`, for handovers.
     :param spawn: starts a function in the background.
     :param reach: :class:`~damasklanding.budget.reach.Reach`, if an owner
-        without a recent proof issues the part of the nodes that it reaches;
-        None if it then issues nothing.
+        without a recent proof issues the part of the nodes that it reaches,
+        and a new owner issues the rate from the beginning; None if they issue
+        nothing.
     """
 
     def __init__(
@@ -322,8 +325,12 @@
             # The previous owner was an earlier process of this node, which
             # has ended.  Only its tokens have to expire.
             delay_ms = MAX_HANDOVER_VIEW_AGE_MS
-        ready_at_ms = self._now_ms() + delay_ms
-        ownership = _Ownership(epoch, ready_at_ms, ready_at_ms)
+        now_ms = self._now_ms()
+        handover_until_ms = now_ms + delay_ms
+        ready_at_ms = handover_until_ms if self._reach is None else now_ms
+        ownership = _Ownership(
+            epoch, ready_at_ms, handover_until_ms, ready_at_ms
+        )
         self._ownerships[name] = ownership
         message, state = self._early_handovers.get(name, (None, None))
         if message is not None and message.epoch <= epoch:
@@ -332,9 +339,14 @@
 
     def _restore_ownership(self, ownership, message, state):
         now_ms = self._now_ms()
-        if ownership.epoch != message.epoch or now_ms >= ownership.ready_at_ms:
+        if (
+            ownership.epoch != message.epoch
+            or now_ms >= ownership.handover_until_ms
+        ):
             return
-        ownership.ready_at_ms = now_ms
+        issued = _tokens_issued(ownership, now_ms)
+        ownership.entries.clear()
+        ownership.ready_at_ms = ownership.handover_until_ms = now_ms
         ownership.empty_at_ms = now_ms - state.age_ms
         for bucket_state in state.buckets:
             plan = plan_bucket(
@@ -345,6 +357,9 @@
                 bucket, bucket_state.rate_per_s, bucket_state.burst_requests
             )
             self._update_plan(bucket_state.organisation)
+        for organisation, tokens in issued.items():
+            entry = self._bucket_entry(ownership, organisation, now_ms)
+            entry.bucket.charge(tokens, now_ms)
         self._metrics.add('grants_total', 'taken-over')
 
     def _hand_over(self, name, ownership, shard):
@@ -373,6 +388,18 @@
             self._handovers_in_flight -= 1
 
 
+def _tokens_issued(ownership, now_ms):
+    """Return the tokens that a new owner has issued, by organisation."""
+    issued = {}
+    for organisation, entry in ownership.entries.items():
+        plan = entry.bucket.plan
+        gained = (now_ms - ownership.empty_at_ms) * plan.rate_per_ms
+        level = entry.bucket.level(now_ms)
+        if level < gained:
+            issued[organisation] = min(plan.capacity, gained) - level
+    return issued
+
+
 def _issue_grant(entry, message, epoch, now_ms):
     bucket = entry.bucket
     pool = entry.pool
--- a/damasklanding/budget/rate_limiter.py
+++ b/damasklanding/budget/rate_limiter.py
@@ -37,7 +37,8 @@
 MAX_RETRY_AFTER_MS = 2_000  # most callers give up rather than wait longer
 FALLBACK_MS = 200  # how long requests use the local share after a failure
 #: Part of the local share that is used when the owner answers that it does
-#: not issue tokens.  All local shares together are the whole budget.
+#: not issue tokens, or is lost to others too.  All local shares together are
+#: the whole budget.
 IDLE_OWNER_SHARE_RATIO = 1.0
 #: Part of the local share that is used when the owner does not answer: it may
 #: still issue tokens to other nodes.
@@ -71,6 +72,8 @@
     :param sleep: pauses for a number of seconds.
     :param shares: :class:`~damasklanding.budget.shares.LocalShares` that
         admits requests while no owner issues tokens; None to refuse them.
+    :param reach: :class:`~damasklanding.budget.reach.Reach`, to learn whether
+        an owner that does not answer is lost to other nodes as well.
     :param node_count: function that returns how many nodes share a rate.
     :param least_wait_ms: least time to wait for a token, also for requests
         that would wait less.  The bucket holds less than a full burst, and
@@ -88,6 +91,7 @@
         spawn=gevent.spawn,
         sleep=gevent.sleep,
         shares=None,
+        reach=None,
         node_count=lambda: 1,
         least_wait_ms=MIN_OWNER_WAIT_MS,
     ):
@@ -100,6 +104,7 @@
         self._spawn = spawn
         self._sleep = sleep
         self._shares = shares
+        self._reach = reach
         self._node_count = node_count
         self._least_wait_ms = least_wait_ms
         self._caches = {}
@@ -284,8 +289,13 @@
         is_local = shard is not None and self._owner.owns(shard)
         answered = is_local or getattr(error, 'reply', None) is not None
         keeps_bucket = isinstance(error, StaleState) or not answered
+        is_idle = answered or (
+            shard is not None
+            and self._reach is not None
+            and self._reach.is_lost(shard.peer_address)
+        )
         cache.share_ratio = (
-            IDLE_OWNER_SHARE_RATIO if answered else SILENT_OWNER_SHARE_RATIO
+            IDLE_OWNER_SHARE_RATIO if is_idle else SILENT_OWNER_SHARE_RATIO
         )
         cache.spent_epoch = shard.revision if keeps_bucket and shard else 0
         now_ms = self._now_ms()
--- a/damasklanding/budget/reach.py
+++ b/damasklanding/budget/reach.py
@@ -2,10 +2,14 @@
 damasklanding.budget.reach
 ~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-How many of the nodes a budget owner reaches while it has no recent proof that
-it still is the owner, and whether they have one.  Where the control hosts have
-no quorum, all nodes are reached and none has a proof.  Where the owner is cut
-off, it reaches only those that are cut off with it.
+What a node learns from others when a budget owner may be gone.
+
+An owner without a recent proof that it still is the owner asks how many nodes
+it reaches, and whether they have one.  Where the control hosts have no quorum,
+all nodes are reached and none has a proof.  Where the owner is cut off, it
+reaches only those that are cut off with it.
+
+A node that an owner does not answer asks whether others still hear of it.
 """
 
 import gevent
@@ -23,6 +27,10 @@
 PROBE_TIMEOUT_MS = 250
 #: What a node has said or asked counts for this long.
 EVIDENCE_LIFE_MS = 1_500
+#: Peers that are asked about an owner.
+MAX_WITNESSES = 4
+#: An owner that issues tokens to a peer is heard of within this time.
+SILENT_OWNER_MS = 400
 #: A peer whose proof is younger by more is in touch with the control hosts.
 FRESHER_MS = 1_000
 
@@ -51,16 +59,36 @@
         self._reached_part = 0.0
         self._reached_ms = float('-inf')
         self._probed_ms = float('-inf')
+        self._asked_about_ms = {}
+        self._lost_ms = {}
 
     def note_heard(self, node):
         """Note that a node has asked this one for tokens."""
         if node != self._name:
             self._heard_ms[node] = self._now_ms()
 
-    def handle(self, _message):
+    def handle(self, message):
         """Tell a peer the age of this node's proof."""
         age_ms = min(self._view.age_ms(), NEVER_CONFIRMED_AGE_MS)
-        return ProofAgeReply(int(age_ms))
+        silent_ms = NEVER_CONFIRMED_AGE_MS
+        link = self._pool.peek(message.about) if message.about else None
+        if link is not None:
+            silent_ms = min(link.silent_ms(), NEVER_CONFIRMED_AGE_MS)
+        return ProofAgeReply(int(age_ms), int(silent_ms))
+
+    def is_lost(self, address):
+        """
+        Return whether others have lately said that they hear nothing of it.
+
+        False until they have been asked.
+        """
+        now_ms = self._now_ms()
+        asked_ms = self._asked_about_ms.get(address, float('-inf'))
+        if now_ms - asked_ms >= PROBE_INTERVAL_MS:
+            self._asked_about_ms[address] = now_ms
+            self._spawn(self._ask_about, address)
+        lost_ms = self._lost_ms.get(address, float('-inf'))
+        return now_ms - lost_ms < EVIDENCE_LIFE_MS
 
     def peer_has_proof(self):
         """Return whether a peer has lately shown a younger proof."""
@@ -94,26 +122,45 @@
             self._spawn(self._probe)
 
     def _probe(self):
+        others = self._other_addresses()
+        sample = self._sample(others, MAX_SAMPLE)
+        replies = self._ask(sample)
+        ratio = len(replies) / len(sample) if sample else 0.0
+        now_ms = self._now_ms()
+        self._reached_part = (1 + ratio * len(others)) / (1 + len(others))
+        self._reached_ms = now_ms
+        youngest_ms = min((r.age_ms for r in replies), default=float('inf'))
+        if self._view.age_ms() - youngest_ms > FRESHER_MS:
+            self._fresher_ms = now_ms
+
+    def _ask_about(self, address):
+        others = [at for at in self._other_addresses() if at != address]
+        replies = self._ask(self._sample(others, MAX_WITNESSES), address)
+        if replies and all(r.silent_ms > SILENT_OWNER_MS for r in replies):
+            self._lost_ms[address] = self._now_ms()
+        else:
+            self._lost_ms.pop(address, None)
+
+    def _other_addresses(self):
         addresses = self._addresses()
         addresses.pop(self._name, None)
-        names = sorted(addresses)
-        sample = self._random.sample(names, min(MAX_SAMPLE, len(names)))
-        reached = []
-        jobs = [
-            self._spawn(self._ask, addresses[name], reached) for name in sample
-        ]
-        gevent.joinall(jobs)
-        ratio = len(reached) / len(sample) if sample else 0.0
-        self._reached_part = (1 + ratio * len(names)) / (1 + len(names))
-        self._reached_ms = self._now_ms()
-
-    def _ask(self, address, reached):
-        try:
-            reply = self._pool.request(
-                address, ProofAgeRequest(self._name), PROBE_TIMEOUT_MS
-            )
-        except DamasklandingError:
-            return
-        reached.append(address)
-        if self._view.age_ms() - reply.age_ms > FRESHER_MS:
-            self._fresher_ms = self._now_ms()
+        return sorted(addresses.values())
+
+    def _sample(self, addresses, count):
+        return self._random.sample(addresses, min(count, len(addresses)))
+
+    def _ask(self, addresses, about=''):
+        """Return the replies of those that answer in time."""
+        replies = []
+
+        def ask(address):
+            message = ProofAgeRequest(self._name, about)
+            try:
+                replies.append(
+                    self._pool.request(address, message, PROBE_TIMEOUT_MS)
+                )
+            except DamasklandingError:
+                pass
+
+        gevent.joinall([self._spawn(ask, address) for address in addresses])
+        return replies
--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -279,6 +279,7 @@
             self.telemetry.take,
             data_centre=settings.data_centre,
         )
+        reach = self._reach(daemon.pool, identity)
         self.owner = BudgetOwner(
             self.view,
             identity.name,
@@ -286,7 +287,7 @@
             monotonic_ms,
             daemon.metrics,
             daemon.pool,
-            reach=self._reach(daemon.pool, identity),
+            reach=reach,
         )
         self.rate_limiter = RateLimiter(
             self.view,
@@ -295,6 +296,7 @@
             monotonic_ms,
             daemon.metrics,
             identity.name,
+            reach=reach,
             **self.interface.rate_options(self._owner_count),
         )
         self.router = Router(
--- a/damasklanding/messages.capnp
+++ b/damasklanding/messages.capnp
@@ -218,10 +218,12 @@
 
 struct ProofAgeRequest {
   node @0 :Text;
+  about @1 :Text;
 }
 
 struct ProofAgeReply {
   ageMs @0 :UInt32;
+  silentMs @1 :UInt32;
 }
 
 struct GrantRequest {
--- a/damasklanding/messages.py
+++ b/damasklanding/messages.py
@@ -623,9 +623,14 @@
 
 @message('proofAgeRequest')
 class ProofAgeRequest:
-    """Asks a node how old its proof of the configuration is."""
+    """
+    Asks a node how old its proof of the configuration is.
+
+    :ivar about: peer address of a third node, empty to ask of none.
+    """
 
     node: str
+    about: str = ''
 
 
 @message('proofAgeReply')
@@ -634,6 +639,9 @@
     Tells how old the proof of a node's configuration is.
 
     :ivar age_ms: :data:`NEVER_CONFIRMED_AGE_MS` without a proof.
+    :ivar silent_ms: time since the third node was heard of,
+        :data:`NEVER_CONFIRMED_AGE_MS` without an open link to it.
     """
 
     age_ms: int
+    silent_ms: int = NEVER_CONFIRMED_AGE_MS
--- a/tests/budget_fleet.py
+++ b/tests/budget_fleet.py
@@ -42,6 +42,18 @@
     return worst
 
 
+class FakeLink:
+    """Open link to a node."""
+
+    def __init__(self, peer):
+        self._peer = peer
+
+    def silent_ms(self):
+        """Return how long nothing was heard of the node."""
+        is_frozen = self._peer.time() < self._peer.frozen_until_ms
+        return 1_000 if is_frozen else 10
+
+
 class Node:
     """
     A node, which is also the link pool of its owner and rate limiter.
@@ -67,6 +79,7 @@
         """Start the process with empty state."""
         self.view = FleetView(self.time)
         self.metrics = Metrics()
+        reach = self._reach()
         self.owner = BudgetOwner(
             self.view,
             self.name,
@@ -75,7 +88,7 @@
             self.metrics,
             self,
             self.spawn,
-            **self._owner_options(),
+            reach=reach,
         )
         shares = {}
         if self.fleet.has_shares:
@@ -89,23 +102,29 @@
             self.name,
             self.spawn,
             self.sleep,
+            reach=reach,
             **self.fleet.limiter_options,
             **shares,
         )
 
-    def _owner_options(self):
+    def _reach(self):
         if not self.fleet.has_shares:
-            return {}
-        return {
-            'reach': Reach(
-                self.view,
-                self.name,
-                self.time,
-                self,
-                random.Random(self.name),
-                self.spawn,
-            )
-        }
+            return None
+        return Reach(
+            self.view,
+            self.name,
+            self.time,
+            self,
+            random.Random(self.name),
+            self.spawn,
+        )
+
+    def peek(self, address):
+        """Return a link to a node that is not cut off, else None."""
+        if (self.address, address) in self.fleet.cut:
+            return None
+        peer = next(n for n in self.fleet.nodes if n.address == address)
+        return FakeLink(peer)
 
     def restart(self):
         """Kill the process and start another."""
--- a/tests/test_one_holder.py
+++ b/tests/test_one_holder.py
@@ -181,3 +181,39 @@
     ask(fleet, others, 4 * RATE_PER_S, 2_000)
     ask(fleet, fleet.nodes, 4 * RATE_PER_S, 4_000)
     assert_one_holder(fleet)
+
+
+def test_new_owner_serves_at_once_and_takes_over_what_is_left(build):
+    fleet = build()
+    heir = fleet.nodes[1]
+    others = fleet.nodes[1:]
+    jobs = ask(fleet, fleet.nodes, 60, 3_000)
+    fleet.assign(heir)
+    for node in others:
+        node.learn()
+    for _ in range(10):
+        fleet.time.run_for(10)
+        for node in others:
+            node.learn()
+            fleet.take(node, 100)
+    fleet.learn()
+    jobs += ask(fleet, fleet.nodes, 60, 3_000)
+    jobs += ask(fleet, fleet.nodes, 10 * RATE_PER_S, 2_000)
+    assert served(jobs) >= 6 * 60 + BURST
+    assert_one_holder(fleet)
+
+
+def test_organisation_within_its_rate_is_served_soon_after_an_owner_ends(
+    build,
+):
+    fleet = build(count=15)
+    owner, heir, *rest = fleet.nodes
+    ask(fleet, fleet.nodes, 60, 3_000)
+    for node in (heir, *rest):
+        fleet.cut.add((node.address, owner.address))
+    ask(fleet, (heir, *rest), 60, LEASE_MS)
+    fleet.assign(heir)
+    fleet.learn()
+    ask(fleet, (heir, *rest), 60, 500)
+    jobs = ask(fleet, (heir, *rest), 60, 2_000)
+    assert served(jobs) == len(jobs)
