WSGI listeners bound what a client sends and give others turns

What callers saw: a peer that sends a request body without end to the listener of announcements, readiness or operators holds up all requests of that process; an operator's document without a length is kept whole.

Cause: the server reads and drops what an application does not read of a body, to its end, and a receive call that finds data gives no other greenlet a turn; bottle keeps a body without a length in a file of any size.

Change: reads with turns, heads of at most 64 KiB, bodies of 4 MiB and 8 MiB together, at most 64 KiB dropped before the connection is closed. Operators' documents were bounded at 16 MiB; none above 4 MiB could be accepted, since a change of the log has at most 1 MiB.

--- a/damasklanding/handshake.py
+++ b/damasklanding/handshake.py
@@ -26,6 +26,7 @@
 
 __all__ = ['Identity', 'accept_handshake', 'open_handshake']
 
+MAX_MESSAGE_BYTES = 16 * 1024
 NONCE_BYTES = 16
 
 
@@ -74,6 +75,8 @@
 
 def _receive_message(sock, cls):
     length = frame_length(_receive_exactly(sock, 4))
+    if length > MAX_MESSAGE_BYTES:
+        raise Forbidden(f'a handshake message of {length} bytes')
     _, message = decode_frame(_receive_exactly(sock, length))
     if type(message) is Problem:
         raise Forbidden(message.problem, message.remedy)
--- a/damasklanding/platform/operators.py
+++ b/damasklanding/platform/operators.py
@@ -11,18 +11,17 @@
 
 import bottle
 
-from damasklanding.errors import BadInput
 from damasklanding.errors import DamasklandingError
-from damasklanding.errors import TooLarge
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import SetDataCentre
 from damasklanding.platform.documents import decode_configuration
+from damasklanding.webapi import request_body
+from damasklanding.wsgi import MAX_BODY_BYTES
 from damasklanding.wsgi import caller_waits
 
 __all__ = ['operator_app']
 
 OPERATOR = 'platform'
-MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 #: Clients of this API ask another host after one second without an answer.
 PROPOSE_TIMEOUT_MS = 2_500
 JSON_TYPE = 'application/json'
@@ -67,12 +66,7 @@
     @app.put('/config')
     @convert_errors
     def put_config():
-        length = bottle.request.content_length
-        if length > MAX_DOCUMENT_BYTES:
-            raise TooLarge(f'a document of {length} bytes')
-        data = bottle.request.body.read(MAX_DOCUMENT_BYTES)
-        if length >= 0 and len(data) < length:
-            raise BadInput('the document was cut short')
+        data = request_body(MAX_BODY_BYTES)
         # Its base version and digest tell copies and later changes apart.
         request_id = f'{OPERATOR}-{os.urandom(8).hex()}'
         return propose(decode_configuration(data), request_id)
--- a/damasklanding/webapi.py
+++ b/damasklanding/webapi.py
@@ -106,12 +106,24 @@
     return int(text)
 
 
-def request_body():
-    """Return the body of the request within its size limit."""
+def request_body(limit_bytes=MAX_DOCUMENT_BYTES):
+    """
+    Return the body of the request.
+
+    Bottle would keep one without a length in a file of any size.
+
+    :raises TooLarge: it is larger than the limit.
+    :raises BadInput: it ended before its length was reached.
+    """
     length = bottle.request.content_length
-    if length > MAX_DOCUMENT_BYTES:
-        raise TooLarge(f'the body exceeds {MAX_DOCUMENT_BYTES} bytes')
-    return bottle.request.body.read(MAX_DOCUMENT_BYTES + 1)
+    body = b''
+    if length <= limit_bytes:
+        body = bottle.request.environ['wsgi.input'].read(limit_bytes + 1)
+    if max(length, len(body)) > limit_bytes:
+        raise TooLarge(f'the body exceeds {limit_bytes} bytes')
+    if len(body) < length:
+        raise BadInput('the body was cut short')
+    return body
 
 
 def request_id():
--- a/damasklanding/wsgi.py
+++ b/damasklanding/wsgi.py
@@ -3,19 +3,26 @@
 ~~~~~~~~~~~~~~~~~~
 
 WSGI servers of the administration API and of small listeners.  When they stop,
-requests that run are answered first.
+requests that run are answered first.  What a client sends is bounded, so that
+one that sends without end takes neither the memory nor the processor.
 """
 
 from contextlib import suppress
+from io import BufferedReader
 import socket
 
 import gevent
 from gevent.pywsgi import WSGIHandler
 from gevent.pywsgi import WSGIServer
 
+from damasklanding.errors import TooLarge
+from damasklanding.errors import Unavailable
+from damasklanding.node.requestbody import RequestBody
+from damasklanding.node.socketreader import SocketReader
 from damasklanding.sockets import peer_has_closed
 
 __all__ = [
+    'MAX_BODY_BYTES',
     'DrainingServer',
     'NoDelayHandler',
     'accept_waiting',
@@ -26,6 +33,92 @@
 _IS_AWAITED = 'damasklanding.is_awaited'
 
 DRAIN_POLL_S = 0.01
+RECEIVE_BYTES = 16 * 1024
+MAX_HEAD_BYTES = 64 * 1024
+MAX_BODY_BYTES = 4 * 1024 * 1024
+#: Of all requests of a server that are being read or answered.
+MAX_HELD_BYTES = 8 * 1024 * 1024
+PART_BYTES = 64 * 1024
+#: Of a body that was not read, before its connection is closed.
+MAX_DISCARD_BYTES = 64 * 1024
+
+
+class _HeadReader:
+    """Reader of the lines of a request's head, up to a total size."""
+
+    def __init__(self, reader):
+        self._reader = reader
+        self._left = MAX_HEAD_BYTES
+
+    def readline(self, limit=-1):
+        """Return the next line."""
+        limit = self._left if limit < 0 else min(limit, self._left)
+        line = self._reader.readline(limit)
+        self._left -= len(line)
+        if not self._left:
+            raise ValueError('the head is too long')
+        return line
+
+
+class _HeldBody(RequestBody):
+    """
+    A request body whose parts count towards what a server holds.
+
+    :ivar unread: whether the connection can't be used on, since too much of
+        the body has not been read.
+    """
+
+    def __init__(self, server, reader, length, sock, chunked):
+        super().__init__(reader, length, sock, chunked)
+        self.unread = False
+        self._server = server
+        self._held_bytes = 0
+
+    def read(self, length=None):
+        """
+        Read the body, or up to a number of bytes of it.
+
+        :raises TooLarge: the body is too large.
+        :raises Unavailable: other requests hold too much at the moment.
+        """
+        parts = []
+        while length is None or length > 0:
+            part = super().read(min(length or PART_BYTES, PART_BYTES))
+            if not part:
+                break
+            self._hold(len(part))
+            parts.append(part)
+            if length is not None:
+                length -= len(part)
+        return b''.join(parts)
+
+    def release(self):
+        """Let go of what was read."""
+        self._server.held_bytes -= self._held_bytes
+        self._held_bytes = 0
+
+    def _hold(self, count):
+        self._held_bytes += count
+        self._server.held_bytes += count
+        if self._held_bytes > MAX_BODY_BYTES:
+            self.unread = True
+            raise TooLarge(f'a body of more than {MAX_BODY_BYTES} bytes')
+        if self._server.held_bytes > MAX_HELD_BYTES:
+            self.unread = True
+            raise Unavailable(
+                'too many large bodies are being read',
+                'send the same request again',
+                retry_after_ms=1_000,
+            )
+
+    def _discard(self):
+        left = MAX_DISCARD_BYTES
+        while not self.unread and left > 0:
+            part = super().read(min(left, RECEIVE_BYTES))
+            if not part:
+                return
+            left -= len(part)
+        self.unread = True
 
 
 class NoDelayHandler(WSGIHandler):
@@ -40,6 +133,10 @@
 
     running = False
 
+    def __init__(self, sock, address, server):
+        reader = BufferedReader(SocketReader(sock), RECEIVE_BYTES)
+        super().__init__(sock, address, server, reader)
+
     def handle(self):
         """Serve one connection."""
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -48,8 +145,13 @@
     def handle_one_request(self):
         """Serve one request."""
         try:
-            return super().handle_one_request()
+            more = super().handle_one_request()
+            body = self.wsgi_input
+            return None if body is not None and body.unread else more
         finally:
+            if self.wsgi_input is not None:
+                self.wsgi_input.release()
+                self.wsgi_input = None
             if self.running:
                 self.running = False
                 self.server.running -= 1
@@ -62,9 +164,26 @@
         self.server.running += 1
         return super().read_requestline()
 
+    def read_request(self, raw_requestline):
+        """Read the rest of the head; return whether it is well formed."""
+        reader = self.rfile
+        self.rfile = _HeadReader(reader)
+        try:
+            return super().read_request(raw_requestline)
+        finally:
+            self.rfile = reader
+
     def get_environ(self):
         """Return the environment of the request that was read."""
         environ = super().get_environ()
+        plain = self.wsgi_input
+        self.wsgi_input = environ['wsgi.input'] = _HeldBody(
+            self.server,
+            self.rfile,
+            plain.content_length,
+            plain.socket,
+            plain.chunked_input,
+        )
         environ[_IS_AWAITED] = self._is_awaited
         return environ
 
@@ -85,6 +204,8 @@
     :ivar running: number of requests that are being read or answered.
     :ivar draining: while true, each answer closes its connection.
     :ivar ended: whether no more requests are served.
+    :ivar held_bytes: bytes of the bodies that have been read for requests
+        which are not answered yet.
     """
 
     #: Seconds; longer than a change of the configuration may take.
@@ -93,6 +214,7 @@
     running = 0
     draining = False
     ended = False
+    held_bytes = 0
 
     def stop(self, timeout=None):
         """Stop accepting, and wait for running requests up to a timeout."""
