--- a/damasklanding/budget/reach.py
+++ b/damasklanding/budget/reach.py
@@ -54,6 +54,8 @@
         self._pool = pool
         self._random = random
         self._spawn = spawn
+        self._owners = {}
+        self._owners_at = None
         self._heard_ms = {}
         self._fresher_ms = float('-inf')
         self._reached_part = 0.0
@@ -104,16 +106,24 @@
             now_ms - at_ms < EVIDENCE_LIFE_MS and node in addresses
             for node, at_ms in self._heard_ms.items()
         )
-        part = (1 + heard) / max(1, len(addresses | {self._name: ''}))
+        count = len(addresses) + (self._name not in addresses)
+        part = (1 + heard) / count
         if now_ms - self._reached_ms < EVIDENCE_LIFE_MS:
             part = max(part, self._reached_part)
         return min(1.0, part)
 
     def _addresses(self):
-        shards = self._view.state.all('budget_shard').values()
-        return {
-            shard.owner: shard.peer_address for shard in shards if shard.owner
-        }
+        """Return the peer addresses of all owners by name."""
+        position = self._view.state.position()
+        if self._owners_at != position:
+            shards = self._view.state.all('budget_shard').values()
+            self._owners = {
+                shard.owner: shard.peer_address
+                for shard in shards
+                if shard.owner
+            }
+            self._owners_at = position
+        return self._owners
 
     def _probe_if_due(self):
         now_ms = self._now_ms()
@@ -142,9 +152,11 @@
             self._lost_ms.pop(address, None)
 
     def _other_addresses(self):
-        addresses = self._addresses()
-        addresses.pop(self._name, None)
-        return sorted(addresses.values())
+        return sorted(
+            address
+            for name, address in self._addresses().items()
+            if name != self._name
+        )
 
     def _sample(self, addresses, count):
         return self._random.sample(addresses, min(count, len(addresses)))
--- a/damasklanding/stalls.py
+++ b/damasklanding/stalls.py
@@ -8,6 +8,7 @@
 """
 
 import gevent
+from loguru import logger
 
 from damasklanding.clock import monotonic_ms
 
@@ -54,5 +55,10 @@
 
     def _note_stall(self):
         now_ms = self._now_ms()
-        if now_ms - self._ticked_ms > STALL_LIMIT_MS:
+        stalled_ms = now_ms - self._ticked_ms
+        if stalled_ms > STALL_LIMIT_MS:
+            if now_ms >= self._suspect_until_ms:
+                logger.warning(
+                    'this process stood still for {:.0f} ms', stalled_ms
+                )
             self._suspect_until_ms = now_ms + READ_LIMIT_MS
