An owner takes what local shares admitted off its bucket once

What callers would see: an organisation within its rate is refused for seconds after its owner was slow to answer, since each request that the owner had got, and whose answer came too late, took the same number off its bucket again.

Change: nodes report a total by epoch, and the owner takes the difference. A handover skips organisations that have been deleted meanwhile.

--- a/damasklanding/budget/owner.py
+++ b/damasklanding/budget/owner.py
@@ -33,7 +33,7 @@
 __all__ = ['MAX_OWNER_VIEW_AGE_MS', 'START_DELAY_MS', 'BudgetOwner']
 
 #: An owner whose view was confirmed longer ago issues no tokens, or only the
-#: part of the nodes that ask it.
+#: part of the nodes that it reaches.
 MAX_OWNER_VIEW_AGE_MS = 1_500
 #: An owner whose view was confirmed longer ago hands nothing over.
 MAX_HANDOVER_VIEW_AGE_MS = 600
@@ -78,12 +78,15 @@
     The bucket of one organisation, with the limits it was sized for.
 
     :ivar pool: :class:`PartialPool` while the owner has no recent proof.
+    :ivar spent: requests that nodes have admitted from their local shares in
+        this epoch, by node.
     """
 
     bucket: Bucket
     rate_per_s: float
     burst_requests: int
     pool: PartialPool | None = None
+    spent: dict = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -183,7 +186,7 @@
             message.organisation, message.epoch
         )
         entry = self._bucket_entry(ownership, message.organisation, now_ms)
-        entry.bucket.charge(min(message.spent, MAX_WANTED_TOKENS), now_ms)
+        _charge_spent(entry, message, now_ms)
         self._update_pool(entry, now_ms)
         grant = _issue_grant(entry, message, ownership.epoch, now_ms)
         issued = grant.tokens + grant.later
@@ -358,8 +361,9 @@
             )
             self._update_plan(bucket_state.organisation)
         for organisation, tokens in issued.items():
-            entry = self._bucket_entry(ownership, organisation, now_ms)
-            entry.bucket.charge(tokens, now_ms)
+            if self._view.state.get('organisation', organisation) is not None:
+                entry = self._bucket_entry(ownership, organisation, now_ms)
+                entry.bucket.charge(tokens, now_ms)
         self._metrics.add('grants_total', 'taken-over')
 
     def _hand_over(self, name, ownership, shard):
@@ -400,6 +404,19 @@
     return issued
 
 
+def _charge_spent(entry, message, now_ms):
+    """
+    Take what a node has admitted from its share off the bucket, once.
+
+    A total below the last one comes from a node that has started anew.
+    """
+    spent = min(message.spent, MAX_WANTED_TOKENS)
+    known = entry.spent.get(message.node, 0)
+    if spent != known:
+        entry.spent[message.node] = spent
+        entry.bucket.charge(max(0, spent - known), now_ms)
+
+
 def _issue_grant(entry, message, epoch, now_ms):
     bucket = entry.bucket
     pool = entry.pool
--- a/damasklanding/budget/rate_limiter.py
+++ b/damasklanding/budget/rate_limiter.py
@@ -297,7 +297,9 @@
         cache.share_ratio = (
             IDLE_OWNER_SHARE_RATIO if is_idle else SILENT_OWNER_SHARE_RATIO
         )
-        cache.spent_epoch = shard.revision if keeps_bucket and shard else 0
+        cache.owner_keeps_bucket = keeps_bucket and shard is not None
+        if shard is not None and cache.spent_epoch != shard.revision:
+            cache.count_spent_from(shard.revision)
         now_ms = self._now_ms()
         cache.fallback_until_ms = now_ms + FALLBACK_MS
         cache.admit_uncovered(
@@ -316,7 +318,7 @@
         """
         if not self._shares.take(organisation, cache.share_ratio, now_ms):
             return False
-        if cache.spent_epoch:
+        if cache.owner_keeps_bucket:
             cache.spent += 1
         return True
 
@@ -328,7 +330,7 @@
                 retry_after_ms=OWNER_RETRY_MS,
             )
         if cache.spent_epoch != shard.revision:
-            cache.spent = 0
+            cache.count_spent_from(shard.revision)
         due_by_ms = max((w.due_by_ms for w in waiting), default=now_ms)
         message = GrantRequest(
             organisation=cache.name,
@@ -345,7 +347,7 @@
             grant = self._pool.request(
                 shard.peer_address, message, OWNER_REQUEST_TIMEOUT_MS
             )
-        cache.spent -= message.spent
+        cache.spent_reported = message.spent
         return grant
 
     def _store_grant(self, cache, grant, sent_ms):
--- a/damasklanding/budget/token_cache.py
+++ b/damasklanding/budget/token_cache.py
@@ -113,9 +113,11 @@
     :ivar fallback_until_ms: time until which requests are admitted from the
         node's local share, since the owner did not issue tokens.
     :ivar share_ratio: part of the local share that may be used until then.
-    :ivar spent: requests admitted from the local share that the owner of
-        ``spent_epoch`` has to take off its bucket and has not been told of.
-    :ivar spent_epoch: 0 if the share is used in place of a new owner.
+    :ivar owner_keeps_bucket: whether the local share is used in place of an
+        owner that may go on with its bucket, not of a new one.
+    :ivar spent: requests admitted from the local share in ``spent_epoch`` that
+        the owner has to take off its bucket.
+    :ivar spent_reported: how many of them the owner has been told of.
     :ivar owner_problem: why the owner issued nothing at the last attempt,
         empty if it answered.
     :ivar request_count: requests in the current window of the demand.
@@ -135,8 +137,10 @@
         'next_token_ms',
         'fallback_until_ms',
         'share_ratio',
+        'owner_keeps_bucket',
         'spent',
         'spent_epoch',
+        'spent_reported',
         'owner_problem',
         'request_count',
         'low_watermark',
@@ -158,8 +162,8 @@
         self.next_token_ms = 0.0
         self.fallback_until_ms = 0.0
         self.share_ratio = 0.0
-        self.spent = 0
-        self.spent_epoch = 0
+        self.owner_keeps_bucket = False
+        self.count_spent_from(0)
         self.owner_problem = ''
         self.request_count = 0
         self.low_watermark = 0
@@ -176,11 +180,17 @@
             or self.waiters
             or self.refilling
             or self.reserved
-            or self.spent
+            or self.spent > self.spent_reported
             or self.request_count
             or self._demand_per_ms
         )
 
+    def count_spent_from(self, epoch):
+        """Count what is admitted from the local share in another epoch."""
+        self.spent = 0
+        self.spent_epoch = epoch
+        self.spent_reported = 0
+
     def available(self, now_ms):
         """Return the number of usable tokens; drop expired batches."""
         batches = self.batches
--- a/damasklanding/messages.py
+++ b/damasklanding/messages.py
@@ -526,8 +526,8 @@
     :ivar waiting: how many of these tokens queued requests wait for; requests
         that arrive later queue as well.
     :ivar wait_ms: longest time that one of these requests may wait.
-    :ivar spent: requests that the sender has admitted from its local share in
-        this epoch, while the owner did not answer, and not reported yet.
+    :ivar spent: total of the requests that the sender has admitted from its
+        local share in this epoch, while the owner issued nothing.
     """
 
     organisation: str
--- a/tests/test_one_holder.py
+++ b/tests/test_one_holder.py
@@ -4,6 +4,7 @@
 
 from damasklanding.budget.owner import MAX_OWNER_VIEW_AGE_MS
 from damasklanding.budget.owner import START_DELAY_MS
+from damasklanding.messages import GrantRequest
 from tests.budget_fleet import Fleet
 from tests.budget_fleet import worst_excess
 
@@ -217,3 +218,15 @@
     ask(fleet, (heir, *rest), 60, 500)
     jobs = ask(fleet, (heir, *rest), 60, 2_000)
     assert served(jobs) == len(jobs)
+
+
+def test_owner_takes_what_shares_admitted_off_its_bucket_once(build):
+    # Its answers can be lost, and the same total comes again.
+    fleet = build()
+    owner = fleet.nodes[0].owner
+    epoch = fleet.shard.revision
+    for spent in (9, 9, 9, 12, 12):
+        owner.grant(GrantRequest('acme', epoch, 0, 0, 0, 'node-1', spent))
+    owner.grant(GrantRequest('acme', epoch, 0, 0, 0, 'node-2', 3))
+    bucket = owner._ownerships[fleet.shard.name].entries['acme'].bucket
+    assert bucket.level(fleet.time()) == bucket.plan.capacity - 15
