--- a/damasklanding/budget/reach.py
+++ b/damasklanding/budget/reach.py
@@ -21,17 +21,18 @@
 
 __all__ = ['Reach']
 
-#: Nodes that are asked at a time, drawn anew each time.
+#: Number of nodes that are asked at a time; they are drawn anew each time.
 MAX_SAMPLE = 8
 PROBE_INTERVAL_MS = 500
 PROBE_TIMEOUT_MS = 250
 #: What a node has said or asked counts for this long.
 EVIDENCE_LIFE_MS = 1_500
-#: Peers that are asked about an owner.
+#: Number of nodes that are asked about an owner.
 MAX_WITNESSES = 4
-#: An owner that issues tokens to a peer is heard of within this time.
+#: A node that gets tokens from an owner hears of it at least this often.
 SILENT_OWNER_MS = 400
-#: A peer whose proof is younger by more is in touch with the control hosts.
+#: A node whose proof is younger by more than this is in touch with the control
+#: hosts.
 FRESHER_MS = 1_000
 
 
--- a/damasklanding/budget/shares.py
+++ b/damasklanding/budget/shares.py
@@ -12,8 +12,8 @@
 
 __all__ = ['LocalShares']
 
-#: A share that is not asked for longer gains no more in that time, since the
-#: owner can have answered other nodes meanwhile.
+#: Longest time between two requests for which a share gains tokens.  The owner
+#: can have answered other nodes in a longer one.
 MAX_GAIN_MS = 1_000
 
 
--- a/damasklanding/stalls.py
+++ b/damasklanding/stalls.py
@@ -17,7 +17,7 @@
 TICK_MS = 100
 #: Senders wait at least this long for an answer before they send elsewhere.
 STALL_LIMIT_MS = 1_000
-#: After a stall, input that came meanwhile is read within this time.
+#: Input that came during a stall is read within this time after it.
 READ_LIMIT_MS = 1_000
 
 
--- a/damasklanding/wsgi.py
+++ b/damasklanding/wsgi.py
@@ -36,10 +36,10 @@
 RECEIVE_BYTES = 16 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 MAX_BODY_BYTES = 4 * 1024 * 1024
-#: Of all requests of a server that are being read or answered.
+#: Largest size of all bodies that a server holds at a time.
 MAX_HELD_BYTES = 8 * 1024 * 1024
 PART_BYTES = 64 * 1024
-#: Of a body that was not read, before its connection is closed.
+#: Bytes of an unread body that are dropped; a longer one closes its connection.
 MAX_DISCARD_BYTES = 64 * 1024
 
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -75,6 +75,16 @@
     )
 
 
+def leader_without_quorum(fleet):
+    """Kill all other hosts and return the former leader."""
+    leader = fleet.start_all()
+    for name in list(fleet.hosts):
+        if name != leader.settings.name:
+            fleet.kill(name)
+    eventually(lambda: leader.config.leadership is None)
+    return leader
+
+
 @pytest.mark.parametrize('method', ['POST', 'DELETE'])
 def test_order_whose_sender_has_closed_is_not_carried_out(tmp_path, method):
     # Guards against a frozen host that carries out what was withdrawn.
@@ -153,11 +163,7 @@
 
 def test_command_without_a_leader_is_given_up_with_its_sender(tmp_path):
     with cluster(tmp_path) as fleet:
-        leader = fleet.start_all()
-        for name in list(fleet.hosts):
-            if name != leader.settings.name:
-                fleet.kill(name)
-        eventually(lambda: leader.config.leadership is None)
+        leader = leader_without_quorum(fleet)
         waits = [True]
         gevent.spawn_later(0.2, waits.__setitem__, 0, False)
         with gevent.Timeout(1), pytest.raises(NotAwaited):
@@ -202,11 +208,7 @@
 
 def test_order_without_a_leader_has_no_clear_answer(tmp_path):
     with cluster(tmp_path) as fleet:
-        leader = fleet.start_all()
-        for name in list(fleet.hosts):
-            if name != leader.settings.name:
-                fleet.kill(name)
-        eventually(lambda: leader.config.leadership is None)
+        leader = leader_without_quorum(fleet)
         with pytest.raises(DamasklandingError) as caught:
             order(leader, True)
         assert caught.value.http_status == 503
