--- a/damasklanding/wsgi.py
+++ b/damasklanding/wsgi.py
@@ -39,7 +39,7 @@
 #: Largest size of all bodies that a server holds at a time.
 MAX_HELD_BYTES = 8 * 1024 * 1024
 PART_BYTES = 64 * 1024
-#: Bytes of an unread body that are dropped; a longer one closes its connection.
+#: Bytes of an unread body that are dropped; a longer one ends its connection.
 MAX_DISCARD_BYTES = 64 * 1024
 
 
