Nodes of an earlier release are not asked for the age of their proof

What callers would see while a fleet is upgraded: a node of the earlier release closes a link that brings a message which it does not know, with all requests on it.

Change: the new message has a level, told in the handshake as for the news of crashes, and is sent to nodes of that level alone. Without replies an owner without proof issues the part of the nodes that ask it.

test_nodes_of_an_earlier_release_are_not_asked_for_their_proof fails without the check, by its assertion on the messages sent.

--- a/damasklanding/budget/reach.py
+++ b/damasklanding/budget/reach.py
@@ -16,6 +16,7 @@
 
 from damasklanding.errors import DamasklandingError
 from damasklanding.messages import NEVER_CONFIRMED_AGE_MS
+from damasklanding.messages import PROOF_AGE_LEVEL
 from damasklanding.messages import ProofAgeReply
 from damasklanding.messages import ProofAgeRequest
 
@@ -169,6 +170,8 @@
         def ask(address):
             message = ProofAgeRequest(self._name, about)
             try:
+                if self._pool.get(address).peer.level < PROOF_AGE_LEVEL:
+                    return
                 replies.append(
                     self._pool.request(address, message, PROBE_TIMEOUT_MS)
                 )
--- a/damasklanding/messages.py
+++ b/damasklanding/messages.py
@@ -35,6 +35,7 @@
     'MESSAGE_LEVEL',
     'NEVER_CONFIRMED_AGE_MS',
     'PACKED_DECODERS',
+    'PROOF_AGE_LEVEL',
     'PROTOCOL_VERSION',
     'Ping',
     'Pong',
@@ -66,8 +67,9 @@
 #: Counts the additions of messages within a protocol version.  A process
 #: closes a link that brings a message which it does not know, so each end
 #: tells its level in the handshake.
-MESSAGE_LEVEL = 2
+MESSAGE_LEVEL = 3
 CRASH_NEWS_LEVEL = 1  # from which on CrashNews is understood
+PROOF_AGE_LEVEL = 3  # from which on ProofAgeRequest is understood
 CONTROL_HOSTS_LEVEL = 2  # from which on a Watch may ask for hosts only
 
 #: Message classes by the name of their union member.
--- a/tests/budget_fleet.py
+++ b/tests/budget_fleet.py
@@ -24,6 +24,7 @@
 from damasklanding.fleet.resources import Organisation
 from damasklanding.fleet.shards import SHARD_NAMES
 from damasklanding.fleet.shards import budget_shard_of
+from damasklanding.messages import MESSAGE_LEVEL
 from damasklanding.metrics import Metrics
 from damasklanding.node.view import FleetView
 from tests.virtual_time import VirtualTime
@@ -43,14 +44,14 @@
 
 
 class FakeLink:
-    """Open link to a node."""
+    """Open link to a node; ``peer`` is the node, with its message level."""
 
     def __init__(self, peer):
-        self._peer = peer
+        self.peer = peer
 
     def silent_ms(self):
         """Return how long nothing was heard of the node."""
-        is_frozen = self._peer.time() < self._peer.frozen_until_ms
+        is_frozen = self.peer.time() < self.peer.frozen_until_ms
         return 1_000 if is_frozen else 10
 
 
@@ -60,8 +61,11 @@
 
     :ivar put_back: function returned for the last admitted request.
     :ivar sent: messages sent so far.
+    :ivar level: message level of its release.
     """
 
+    level = MESSAGE_LEVEL
+
     def __init__(self, fleet, number):
         self.fleet = fleet
         self.name = f'node-{number}'
@@ -119,12 +123,17 @@
             self.spawn,
         )
 
+    def get(self, address):
+        """Return an open link to a node."""
+        return FakeLink(
+            next(n for n in self.fleet.nodes if n.address == address)
+        )
+
     def peek(self, address):
         """Return a link to a node that is not cut off, else None."""
         if (self.address, address) in self.fleet.cut:
             return None
-        peer = next(n for n in self.fleet.nodes if n.address == address)
-        return FakeLink(peer)
+        return self.get(address)
 
     def restart(self):
         """Kill the process and start another."""
--- a/tests/test_one_holder.py
+++ b/tests/test_one_holder.py
@@ -4,7 +4,9 @@
 
 from damasklanding.budget.owner import MAX_OWNER_VIEW_AGE_MS
 from damasklanding.budget.owner import START_DELAY_MS
+from damasklanding.messages import PROOF_AGE_LEVEL
 from damasklanding.messages import GrantRequest
+from damasklanding.messages import ProofAgeRequest
 from tests.budget_fleet import Fleet
 from tests.budget_fleet import worst_excess
 
@@ -230,3 +232,19 @@
     owner.grant(GrantRequest('acme', epoch, 0, 0, 0, 'node-2', 3))
     bucket = owner._ownerships[fleet.shard.name].entries['acme'].bucket
     assert bucket.level(fleet.time()) == bucket.plan.capacity - 15
+
+
+def test_nodes_of_an_earlier_release_are_not_asked_for_their_proof(build):
+    # They would close the link, with all requests on it.
+    fleet = build()
+    for node in fleet.nodes[1:]:
+        node.level = PROOF_AGE_LEVEL - 1
+    fleet.time.run_for(MAX_OWNER_VIEW_AGE_MS)
+    jobs = ask(fleet, fleet.nodes, 4 * RATE_PER_S, 3_000, core=False)
+    assert served(jobs) >= RATE_PER_S * 3 / NODES
+    assert not any(
+        type(message) is ProofAgeRequest
+        for node in fleet.nodes
+        for message in node.sent
+    )
+    assert_one_holder(fleet)
