Small organisations are served soon after an owner ends

Cause: local shares and new owners began empty, as they must not give the burst out again; such an organisation waits seconds for its first token.

What shares admit is charged as before to an owner that comes back.

The bound of the random orders is the users' own and stays.

--- a/damasklanding/budget/owner.py
+++ b/damasklanding/budget/owner.py
@@ -18,6 +18,7 @@
 from damasklanding.budget.bucket import Bucket
 from damasklanding.budget.bucket import plan_bucket
 from damasklanding.budget.pool import PartialPool
+from damasklanding.budget.shares import FIRST_REQUESTS
 from damasklanding.errors import BadInput
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import StaleState
@@ -96,7 +97,9 @@
 
     :ivar ready_at_ms: time from which tokens are issued.
     :ivar handover_until_ms: time until which a handover is accepted.
-    :ivar empty_at_ms: time at which all buckets of the shard were empty.
+    :ivar empty_at_ms: time at which all buckets of the shard were empty, but
+        for their first tokens.
+    :ivar first_tokens: tokens that each bucket began with.
     :ivar entries: :class:`_BucketEntry` by organisation.
     """
 
@@ -104,6 +107,7 @@
     ready_at_ms: float
     handover_until_ms: float
     empty_at_ms: float
+    first_tokens: int = 0
     entries: dict = field(default_factory=dict)
 
 
@@ -285,7 +289,7 @@
         entry = ownership.entries.get(name)
         if entry is None:
             plan = plan_bucket(rate, burst)
-            level = (now_ms - ownership.empty_at_ms) * plan.rate_per_ms
+            level = _level_since_start(ownership, plan, now_ms)
             entry = _BucketEntry(Bucket(plan, now_ms, level), rate, burst)
             ownership.entries[name] = entry
         elif (entry.rate_per_s, entry.burst_requests) != (rate, burst):
@@ -332,7 +336,11 @@
         handover_until_ms = now_ms + delay_ms
         ready_at_ms = handover_until_ms if self._reach is None else now_ms
         ownership = _Ownership(
-            epoch, ready_at_ms, handover_until_ms, ready_at_ms
+            epoch,
+            ready_at_ms,
+            handover_until_ms,
+            ready_at_ms,
+            0 if self._reach is None else FIRST_REQUESTS,
         )
         self._ownerships[name] = ownership
         message, state = self._early_handovers.get(name, (None, None))
@@ -351,6 +359,7 @@
         ownership.entries.clear()
         ownership.ready_at_ms = ownership.handover_until_ms = now_ms
         ownership.empty_at_ms = now_ms - state.age_ms
+        ownership.first_tokens = 0
         for bucket_state in state.buckets:
             plan = plan_bucket(
                 bucket_state.rate_per_s, bucket_state.burst_requests
@@ -396,14 +405,19 @@
     """Return the tokens that a new owner has issued, by organisation."""
     issued = {}
     for organisation, entry in ownership.entries.items():
-        plan = entry.bucket.plan
-        gained = (now_ms - ownership.empty_at_ms) * plan.rate_per_ms
+        unused = _level_since_start(ownership, entry.bucket.plan, now_ms)
         level = entry.bucket.level(now_ms)
-        if level < gained:
-            issued[organisation] = min(plan.capacity, gained) - level
+        if level < unused:
+            issued[organisation] = unused - level
     return issued
 
 
+def _level_since_start(ownership, plan, now_ms):
+    """Return the level of a bucket that no token was issued from."""
+    gained = (now_ms - ownership.empty_at_ms) * plan.rate_per_ms
+    return min(plan.capacity, ownership.first_tokens + gained)
+
+
 def _charge_spent(entry, message, now_ms):
     """
     Take what a node has admitted from its share off the bucket, once.
