Admit at even distances while the entry throttle refuses

Cause: the throttle admitted by chance. A node with about 10 requests a second that drew badly admitted too few to see that they are answered.

Change: each kind of request is admitted at even distances for the same ratio; each node begins at its own point.

--- a/damasklanding/policy/throttle.py
+++ b/damasklanding/policy/throttle.py
@@ -103,14 +103,31 @@
 
     :ivar answers_in_row: answered requests since the last overload.
     :ivar overloaded_ms: time of the last overload.
+    :param due: admissions that are due at first, in [0, 1), so that hosts do
+        not admit in step.
     """
 
-    __slots__ = ('answers_in_row', 'overloaded_ms')
+    __slots__ = ('_due', 'answers_in_row', 'overloaded_ms')
 
-    def __init__(self, now_ms, decay_ms):
+    def __init__(self, now_ms, decay_ms, due):
         super().__init__(now_ms, decay_ms)
         self.answers_in_row = 0
         self.overloaded_ms = float('-inf')
+        self._due = due
+
+    def take_turn(self, refused_ratio):
+        """
+        Return whether the next request is admitted.
+
+        Requests are picked at even distances.  Picked by chance, a host with
+        few requests could see so few answers that its throttle stays closed
+        for seconds after the end of an overload.
+        """
+        self._due += 1.0 - refused_ratio
+        if self._due < 1.0:
+            return False
+        self._due -= 1.0
+        return True
 
     def note(self, overloaded, now_ms):
         """Count the end of an admitted request."""
@@ -208,7 +225,7 @@
         :raises Overloaded: the request is refused and has not been run.
         """
         route = self._route(service, profile, importance)
-        if self._random() < self._refused_ratio(route):
+        if not route.take_turn(self._refused_ratio(route)):
             route.events += 1.0
             raise Overloaded(
                 f'requests like this one to {service} are shed further down '
@@ -250,6 +267,7 @@
         route = self._routes.get(key)
         if route is None:
             decay_ms = self._settings.decay_ms
-            route = self._routes[key] = _RouteCounts(now_ms, decay_ms)
+            route = _RouteCounts(now_ms, decay_ms, self._random())
+            self._routes[key] = route
         route.decay(now_ms)
         return route
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -3,6 +3,8 @@
 import pytest
 
 from damasklanding.errors import Overloaded
+from damasklanding.policy.serverrate import UNLIMITED
+from damasklanding.policy.serverrate import ServerRate
 from damasklanding.policy.throttle import CHAIN_THROTTLE_SETTINGS
 from damasklanding.policy.throttle import DECAY_MS
 from damasklanding.policy.throttle import DEFAULT_THROTTLE_SETTINGS
@@ -144,3 +146,41 @@
     )
     passed = run(throttle, clock, 60, 10, lambda index: index % 10 == 0)
     assert passed < 0.5 * 600
+
+
+def refused_after_a_limit(clock, seed):
+    """
+    Return the refused of 80 requests, 3 s after a server's limit has ended.
+
+    Four nodes get 40 requests a second, of which the server takes 10.4 while
+    its limit is in force.
+    """
+    draw = random.Random(seed).random
+    throttles = [
+        AdaptiveThrottle(lambda: clock[0], draw, CHAIN_THROTTLE_SETTINGS)
+        for _ in range(4)
+    ]
+    rate = ServerRate(lambda: clock[0])
+    rate.note(10.4, clock[0])
+    refused = 0
+    for index in range(280):
+        clock[0] += 25.0
+        if index == 80:
+            rate.note(UNLIMITED, clock[0])
+        throttle = throttles[index % len(throttles)]
+        try:
+            throttle.check('desk', 'p', 1)
+        except Overloaded:
+            refused += index >= 200
+            continue
+        is_overloaded = rate.wait_ms() > 0.0
+        if not is_overloaded:
+            rate.take()
+        throttle.note('desk', 'p', 1, is_overloaded)
+    return refused
+
+
+def test_release_after_a_limit_does_not_depend_on_chance(clock):
+    """Guards against a throttle that stays closed at hosts with few calls."""
+    refused = {seed: refused_after_a_limit(clock, seed) for seed in range(400)}
+    assert not {seed: count for seed, count in refused.items() if count}
