Refuse an entry that can not be applied, and apply the next

Cause: the command's name is any text, its resource's is not. Decoding the written resource raised, which ended the applier on every host at the same entry, and again at each start.

Ruled out: an order that is proposed in a loop (the log does not grow).

Change: an entry that raises is refused on every host, with a line and entries_refused_total; lack of memory is left out, as hosts could go apart. Changes are decoded as a whole before the first is written, listeners of the configuration can not end the applier, and the platform's API refuses a name that no data centre can have with 400 and the known names. A well-formed name that is unknown now is taken: all hosts of a data centre may be off when it is evacuated.

--- a/damasklanding/claims/state_machine.py
+++ b/damasklanding/claims/state_machine.py
@@ -109,6 +109,10 @@
             return encode(ClaimReply('malformed'))
         return encode(self._handlers[type(command)](command))
 
+    def refusal(self, _error):
+        """Return the encoded reply to an entry that can't be applied."""
+        return encode(ClaimReply('malformed'))
+
     def snapshot(self):
         """Return the encoded state."""
         return encode(
--- a/damasklanding/control/applier.py
+++ b/damasklanding/control/applier.py
@@ -77,12 +77,28 @@
         replica = self._replica
         outcome = b''
         if entry.kind == 'command':
-            outcome = replica.state_machine.apply(entry)
+            outcome = self._apply_command(entry)
         self.index = entry.index
         if entry.kind == 'members':
             replica.on_members_committed(entry.index)
         replica.proposals.resolve(entry, outcome)
 
+    def _apply_command(self, entry):
+        """
+        Return the outcome of a command.
+
+        One that raises does so on every host and at every start, so that it
+        is refused and the next one is applied.
+        """
+        state_machine = self._replica.state_machine
+        try:
+            return state_machine.apply(entry)
+        except MemoryError:
+            raise  # other hosts may have enough
+        except Exception as error:  # noqa: BLE001
+            self._replica.note_refused_entry(entry, error)
+            return state_machine.refusal(error)
+
     def _notify_waiters(self):
         event = self._entries_applied
         self._entries_applied = Event()
--- a/damasklanding/control/configuration.py
+++ b/damasklanding/control/configuration.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from damasklanding.errors import BadInput
 from damasklanding.errors import DamasklandingError
 from damasklanding.fleet.commands import ApplyConfiguration
 from damasklanding.fleet.commands import Envelope
@@ -80,7 +81,11 @@
         self.applied = AppliedConfigurations()
 
     def apply(self, entry):
-        """Apply one committed entry and return the encoded outcome."""
+        """
+        Apply one committed entry and return the encoded outcome.
+
+        An entry that raises has changed nothing; see :meth:`refusal`.
+        """
         try:
             envelope = _decode_envelope(entry.payload)
         except msgspec.DecodeError as error:
@@ -94,6 +99,16 @@
         self._remember_outcome(envelope.request_id, outcome)
         return outcome
 
+    def refusal(self, error):
+        """Return the encoded outcome of an entry that can't be applied."""
+        return _encode(
+            Outcome(
+                revision=0,
+                error=BadInput.code,
+                problem=f'the change can not be applied ({error})',
+            )
+        )
+
     def history(self, limit):
         """Return the latest changes by operators, newest first."""
         return list(reversed(self._history))[:limit]
@@ -159,9 +174,9 @@
             )
         if not changes:
             return Outcome(revision=current)
+        self.view.apply(entry.term, entry.index, changes)
         if is_configuration:
             self.applied.record_applied(command, entry.index)
-        self.view.apply(entry.term, entry.index, changes)
         self._record_change(entry, envelope, kind, name)
         return Outcome(revision=entry.index)
 
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -267,6 +267,17 @@
         if self._metrics is not None:
             self._metrics.add(name, self.group, *labels)
 
+    def note_refused_entry(self, entry, error):
+        """Report a committed entry that can not be applied."""
+        self.increment_counter('entries_refused_total')
+        _log_warning(
+            '{}: entry {} can not be applied and is refused: {}: {}',
+            self.group,
+            entry.index,
+            type(error).__name__,
+            error,
+        )
+
     def is_voter(self):
         """Return whether the group counts the votes of this data folder."""
         member = self.membership.get(self.name)
@@ -508,6 +519,14 @@
 
 
 def _log_info(text, *arguments):
+    _log('INFO', text, *arguments)
+
+
+def _log_warning(text, *arguments):
+    _log('WARNING', text, *arguments)
+
+
+def _log(level, text, *arguments):
     from loguru import logger
 
-    logger.info(text, *arguments)
+    logger.log(level, text, *arguments)
--- a/damasklanding/fleet/state.py
+++ b/damasklanding/fleet/state.py
@@ -53,20 +53,29 @@
         return True
 
     def merge(self, changes):
-        """Write resources without moving the revision."""
-        for change in changes:
-            resources = self._resources[change.kind]
-            resource = change.resource()
+        """
+        Write resources without moving the revision.
+
+        :raises msgspec.ValidationError: one is malformed; then none is
+            written.
+        """
+        decoded = [
+            (self._resources[change.kind], change.name, change.resource())
+            for change in changes
+        ]
+        for resources, name, resource in decoded:
             if resource is None:
-                resources.pop(change.name, None)
+                resources.pop(name, None)
             else:
-                resources[change.name] = resource
+                resources[name] = resource
 
     def replace(self, term, revision, changes):
         """
         Replace all resources by a snapshot of an equal or later position.
 
         :return: list of changes from the old state to the new one.
+        :raises msgspec.ValidationError: one is malformed; then the state
+            stays as it is.
         """
         if (term, revision) < (self.term, self.revision):
             return []
@@ -77,11 +86,11 @@
             for name in resources
             if (kind, name) not in present
         ]
-        self.merge(removed)
-        self.merge(changes)
+        whole = removed + list(changes)
+        self.merge(whole)
         self.term = term
         self.revision = revision
-        return removed + list(changes)
+        return whole
 
     def snapshot(self, wanted=None):
         """
--- a/damasklanding/metrics.py
+++ b/damasklanding/metrics.py
@@ -41,6 +41,10 @@
     'link_events_total': ('Peer connections by event', ('event',)),
     'grants_total': ('Budget grants by result', ('result',)),
     'claims_total': ('At-most-once claims by verdict', ('verdict',)),
+    'entries_refused_total': (
+        'Committed log entries that can not be applied',
+        ('group',),
+    ),
     'changes_total': ('Configuration changes applied', ('kind',)),
     'elections_total': ('Elections by group and result', ('group', 'result')),
     'series_dropped_total': (
--- a/damasklanding/node/view.py
+++ b/damasklanding/node/view.py
@@ -9,6 +9,8 @@
 import hashlib
 import hmac
 
+from loguru import logger
+
 from damasklanding.clock import monotonic_ms
 from damasklanding.errors import KeyRefused
 from damasklanding.errors import NotFound
@@ -169,7 +171,11 @@
         if 'backend' in kinds:
             self._index_backends()
         for listener in self._listeners:
-            listener(changes)
+            try:
+                listener(changes)
+            except Exception:  # noqa: BLE001
+                # The state has changed, and the other listeners must know.
+                logger.exception('a listener of the configuration failed')
 
     def _index_routes(self):
         routes = [
--- a/damasklanding/platform/operators.py
+++ b/damasklanding/platform/operators.py
@@ -14,6 +14,7 @@
 from damasklanding.errors import DamasklandingError
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import SetDataCentre
+from damasklanding.fleet.datacentres import require_data_centre_name
 from damasklanding.platform.documents import decode_configuration
 from damasklanding.webapi import request_body
 from damasklanding.wsgi import MAX_BODY_BYTES
@@ -78,14 +79,18 @@
         bottle.response.content_type = JSON_TYPE
         return zlib.decompress(document)
 
+    def set_out(name, out):
+        require_data_centre_name(host.view.state, name)
+        return propose(SetDataCentre(name=name, out=out))
+
     @app.post('/evacuation/<name>')
     @convert_errors
     def start_evacuation(name):
-        return propose(SetDataCentre(name=name, out=True))
+        return set_out(name, True)
 
     @app.delete('/evacuation/<name>')
     @convert_errors
     def end_evacuation(name):
-        return propose(SetDataCentre(name=name, out=False))
+        return set_out(name, False)
 
     return app
