Test of missing services: without the entry throttle

test_requests_that_need_a_service_without_servers_are_refused_unrun makes eight failing calls and asks that all reach the server. The test is of the dependency check, so it runs without a throttle; all its checks stay.

--- a/tests/test_egress.py
+++ b/tests/test_egress.py
@@ -1,5 +1,6 @@
 import json
 
+from nodes import NoThrottle
 from nodes import call
 from nodes import two_sites
 
@@ -79,7 +80,7 @@
         return (200 if inner.status == 200 else 500), b''
 
     route = Route(prefix='/ledger', profile='query', access='internal')
-    with two_sites(answer) as nodes:
+    with two_sites(answer, throttle=NoThrottle()) as nodes:
         ledger = Service(name='ledger', routes=(route,))
         nodes.publish(Change.put('service', ledger))
         entry = nodes.sites['entry']
