Repeats of lost answers ask the budgets and the gate

Cause: the node beside a server sent a request again on a new connection if the kept one closed before the answer began. That asked no budget, took no attempt of the request, and did not look at the gate again.

Ruled out: repeats by entry nodes, which go to other servers and ask the budgets.

Change: such a repeat, and that of a connection that was given up as silent, takes an attempt of the request, the node's resend and retry budgets and its share of the fleet's bound, and is sent only where the node would take new work.

--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -15,6 +15,7 @@
 from loguru import logger
 import msgspec
 
+from damasklanding.errors import DamasklandingError
 from damasklanding.node.calls import CallTable
 from damasklanding.node.calls import random_token
 from damasklanding.node.crashes import CrashWatch
@@ -37,6 +38,7 @@
 from damasklanding.policy.quarantine import Quarantine
 from damasklanding.policy.retryshare import NO_RETRY_BOUND
 from damasklanding.policy.retryshare import RetryShares
+from damasklanding.policy.retryshare import ServiceBudget
 
 __all__ = ['Node', 'NodeStatus']
 
@@ -195,6 +197,7 @@
             self._check_send,
             self._crashes.broke_off,
             self._note_notice,
+            self._take_repeat,
         )
         self._local_backend = LocalBackend(
             settings,
@@ -215,6 +218,10 @@
             self._load_report, now_ms
         )
         peers = PeerCaller(pool, now_ms)
+        self._retry_budget = retry_budget
+        self._retry_shares = retry_shares or RetryShares(
+            NO_RETRY_BOUND, int, now_ms
+        )
         forwarder = Forwarder(
             settings.name,
             view,
@@ -224,7 +231,7 @@
             router,
             retry_budget,
             metrics,
-            retry_shares or RetryShares(NO_RETRY_BOUND, int, now_ms),
+            self._retry_shares,
         )
         dependencies = DependencyCheck(
             now_ms,
@@ -418,6 +425,21 @@
         if is_resend:
             self._gate.note_resend()
 
+    def _take_repeat(self, call):
+        """
+        Take a repeat of a call to the backend server from the budgets.
+
+        :return: whether there was one, and the call may still be sent.
+        """
+        try:
+            self._local_backend.check(call)
+        except DamasklandingError:
+            return False
+        budget = ServiceBudget(
+            self._retry_budget, self._retry_shares, call.service
+        )
+        return budget.try_spend(call.importance)
+
     def _note_notice(self, call, notice):
         """Take what the backend server says of itself in an answer."""
         if call.sent_ms < self._started_ms:
--- a/damasklanding/node/local_backend.py
+++ b/damasklanding/node/local_backend.py
@@ -114,7 +114,7 @@
         :raises UpstreamFailed: it was, and failed.
         """
         try:
-            self._check(call)
+            self.check(call)
             held = self._admitted(call)
             running = held.__enter__()
             try:
@@ -143,7 +143,7 @@
             build_admission_request(call, self._view)
         ) as slot:
             if slot.waited_ms > WAITED_MS:
-                self._check(call)
+                self.check(call)
             running = self._table.add(call, slot)
             try:
                 yield running
@@ -152,7 +152,12 @@
                 if call.sent_ms is not None:
                     self._crashes.abandoned(call)
 
-    def _check(self, call):
+    def check(self, call):
+        """
+        Check that a call may be sent to the backend server now.
+
+        :raises Refusal: it may not.
+        """
         if self.draining or self._gate.draining:
             raise Draining('this node takes no new work')
         if call.service != self._service():
--- a/damasklanding/node/upstream.py
+++ b/damasklanding/node/upstream.py
@@ -164,6 +164,10 @@
     return False
 
 
+def _always(_call):
+    return True
+
+
 class Upstream:
     """
     Sends calls to one backend server.
@@ -179,6 +183,9 @@
         server has ended.
     :param on_notice: function of a call and the
         :class:`~damasklanding.node.dialect.BackendNotice` in its answer.
+    :param take_repeat: function of a call that may have run; takes a repeat
+        from the budgets of the node, and returns whether there was one and
+        the backend server may still get it.
     :ivar instance: id of the backend server's present start.
     """
 
@@ -191,6 +198,7 @@
         check=_nothing,
         broke_off=_not_ended,
         on_notice=_ignore_notice,
+        take_repeat=_always,
     ):
         self.address = address
         self.instance = ''
@@ -201,6 +209,7 @@
         self._check = check
         self._broke_off = broke_off
         self._on_notice = on_notice
+        self._take_repeat = take_repeat
         self._idle = deque()
         self._answer_ms = 0.0
         self._silence_seen_ms = 0.0
@@ -296,7 +305,18 @@
     def _may_resend(self, call, error):
         if type(error) is not UpstreamFailed or not error.nothing_received:
             return False
-        return call.idempotent and call.body.repeatable()
+        if not call.idempotent or not call.body.repeatable():
+            return False
+        return self._take_resend(call)
+
+    def _take_resend(self, call):
+        """Take a repeat from all budgets; return whether there was one."""
+        return (
+            call.allowance.left > 0
+            and self._resends.try_spend()
+            and self._take_repeat(call)
+            and call.allowance.spend()
+        )
 
     def _patience_ms(self):
         """Return after what time a connection may count as silent."""
@@ -304,9 +324,6 @@
             return float('inf')
         return max(MIN_PATIENCE_MS, PATIENCE_FACTOR * self._answer_ms)
 
-    def _give_up_on(self, call):
-        return call.allowance.spend() and self._resends.try_spend()
-
     def _attempt(self, connection, call, token, may_repeat):
         self._resends.note_call()
         self._require_time(call)
@@ -386,7 +403,7 @@
                 return
             if left_ms <= patience_ms:
                 continue
-            if may_repeat and self._give_up_on(call):
+            if may_repeat and self._take_resend(call):
                 raise _Silence
             may_repeat = False
             # A call resent after this one was sent has had its answer.
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -20,6 +20,8 @@
 from damasklanding.node.calls import RetryAllowance
 from damasklanding.node.dialect import DEFAULT_BACKEND_DIALECT
 from damasklanding.node.upstream import MAX_NON_IDEMPOTENT_IDLE_MS
+from damasklanding.node.upstream import RESEND_RATIO
+from damasklanding.node.upstream import RESEND_RESERVE
 from damasklanding.node.upstream import Upstream
 from damasklanding.platform.headers import BACKEND_DIALECT
 
@@ -637,3 +639,57 @@
                     gevent.sleep(pause_ms / 1000)
         assert monotonic_ms() - began_ms < 300 + 500 + 200
     assert max(pauses) < 500
+
+
+def losing_answers(requests):
+    """A backend server that answers once a connection, then closes it."""
+
+    def serve(sock):
+        if sock.recv(65_536):
+            sock.sendall(OK)
+        if sock.recv(65_536):
+            requests.append(sock)
+            sock.close()
+
+    return SocketBackend(serve)
+
+
+def call_until_lost(upstream, requests, call):
+    """Make a call whose answer is lost on a kept connection."""
+    upstream.call(a_call(), 't')
+    count = len(requests)
+    try:
+        upstream.call(call, 't')
+    except UpstreamFailed as error:
+        assert error.outcome == 'unknown'
+    assert len(requests) == count + 1
+    upstream.close()
+
+
+def test_lost_answers_are_sent_for_again_within_the_budget():
+    """Guards against repeats of lost answers that no budget bounds."""
+    requests = []
+    taken = []
+    backend = losing_answers(requests)
+    upstream = Upstream(
+        backend.address, take_repeat=lambda call: not taken.append(call)
+    )
+    for _ in range(300):
+        call_until_lost(upstream, requests, a_call())
+    assert len(taken) <= max(RESEND_RESERVE, RESEND_RATIO * 900)
+    assert len(taken) >= RESEND_RESERVE
+
+
+@pytest.mark.parametrize('left, may_repeat', [(0, True), (1, False)])
+def test_lost_answer_is_not_sent_for_again(left, may_repeat):
+    requests = []
+    backend = losing_answers(requests)
+    upstream = Upstream(backend.address, take_repeat=lambda _call: may_repeat)
+    upstream.call(a_call(), 't')
+    connections = backend.connections
+    call = a_call()
+    call.allowance = RetryAllowance(left)
+    with pytest.raises(UpstreamFailed):
+        upstream.call(call, 't')
+    assert backend.connections == connections
+    assert call.allowance.left == left
