Log orders, departures, arrivals and versions in force

Cause: lines were written for decisions about requests and for members of the log, none for the state that these decisions read.

The node beside a backend server logs the report or departure that decided its state, and the ones that it does not believe. A service that loses its last usable server is named at once, with the reason for each server, in a warning, a gauge and /status. 20 lines a second of a kind, the rest is counted.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -21,8 +21,10 @@
 from damasklanding.link import parse_address
 from damasklanding.linkpool import LinkPool
 from damasklanding.linkserver import LinkServer
+from damasklanding.logs import CappedLog
 from damasklanding.metrics import Metrics
 from damasklanding.seeds import seed_hosts_reader
+from damasklanding.viewlog import ViewLog
 
 __all__ = ['Daemon']
 
@@ -36,6 +38,8 @@
     A daemon's account of itself.
 
     :ivar age_ms: age of the proof of freshness, None without one.
+    :ivar empty_services: services that have lost their last usable backend
+        server, each with why its servers can't be used.
     """
 
     name: str
@@ -43,6 +47,7 @@
     term: int
     revision: int
     age_ms: int | None
+    empty_services: dict[str, str]
     roles: list
 
 
@@ -62,6 +67,22 @@
     return None
 
 
+def _throttle_log():
+    """Return a function that logs when the throttle begins and ends."""
+    log = CappedLog(monotonic_ms)
+
+    def on_change(service, profile, importance, is_shed, answered, asked):
+        text = 'most are refused' if is_shed else 'none is refused any more'
+        log.write(
+            'throttle',
+            f'requests to {service} of profile {profile} and importance '
+            f'{importance}: {text}, {answered:.0f} of {asked:.0f} were '
+            f'answered lately',
+        )
+
+    return on_change
+
+
 class Daemon:
     """
     One daemon process with the roles of its settings.
@@ -100,6 +121,7 @@
             self.control = _ControlRole(self)
         if 'node' in settings.roles:
             self.node = _NodeRole(self)
+        self.view_log = ViewLog(self.view, self.metrics)
         self.operations = _operations_server(self)
 
     @property
@@ -143,6 +165,7 @@
             term=view.state.term,
             revision=view.state.revision,
             age_ms=None if age_ms == float('inf') else int(age_ms),
+            empty_services=self.view_log.empty_services(),
             roles=[role.status() for role in self.roles()],
         )
 
@@ -323,6 +346,7 @@
                 monotonic_ms,
                 random.Random(identity.instance).random,
                 self.interface.throttle_settings(),
+                _throttle_log(),
             ),
             on_announce=self.registration.announce,
             ensure_service=self.watch.ensure_service,
--- a/damasklanding/logs.py
+++ b/damasklanding/logs.py
@@ -7,13 +7,21 @@
 masked before a line is written.
 """
 
+from collections import Counter
 import re
 import sys
 
+import gevent
 from loguru import logger
 import msgspec
 
-__all__ = ['KEY_PREFIX', 'StateLog', 'configure_logs', 'mask_secrets']
+__all__ = [
+    'KEY_PREFIX',
+    'CappedLog',
+    'StateLog',
+    'configure_logs',
+    'mask_secrets',
+]
 
 #: Start of every key that the command-line tool generates.
 KEY_PREFIX = 'dlk_'
@@ -138,3 +146,44 @@
             del self.states[next(iter(self.states))]
         logger.log(self._level, '{}: {} {}', subject, state, text)
         return True
+
+
+class CappedLog:
+    """
+    Logs at most so many lines a second of each kind and counts the others.
+
+    :param now_ms: function that returns the current time in milliseconds.
+    """
+
+    LINES_PER_S = 20
+    WINDOW_MS = 1_000
+
+    def __init__(self, now_ms):
+        self._now_ms = now_ms
+        self._since_ms = now_ms()
+        self._written = Counter()
+        self._left_out = Counter()
+        self._timer = None
+
+    def write(self, kind, text, level='INFO'):
+        """Write a line, or count it where its kind has filled the cap."""
+        now_ms = self._now_ms()
+        if now_ms - self._since_ms >= self.WINDOW_MS:
+            self._since_ms = now_ms
+            self._written.clear()
+        if self._written[kind] < self.LINES_PER_S:
+            self._written[kind] += 1
+            logger.log(level, '{}', text)
+            return
+        self._left_out[kind] += 1
+        if self._timer is None:
+            self._timer = gevent.spawn_later(
+                self.WINDOW_MS / 1000, self.summarise
+            )
+
+    def summarise(self):
+        """Write how many lines of each kind were left out."""
+        self._timer = None
+        for kind, count in sorted(self._left_out.items()):
+            logger.info('{}: {} more lines were left out', kind, count)
+        self._left_out.clear()
--- a/damasklanding/metrics.py
+++ b/damasklanding/metrics.py
@@ -57,6 +57,10 @@
 GAUGES = {
     'configuration_revision': ('Revision in force', ()),
     'configuration_age_ms': ('Age of the proof of freshness', ()),
+    'services_without_server': (
+        'Services that have lost their last usable backend server',
+        (),
+    ),
     'concurrency_limit': ('Adaptive concurrency limit', ('service',)),
     'concurrency_running': ('Calls running', ('service',)),
     'queue_length': ('Calls waiting for a slot', ('service',)),
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -39,6 +39,7 @@
 from damasklanding.policy.retryshare import NO_RETRY_BOUND
 from damasklanding.policy.retryshare import RetryShares
 from damasklanding.policy.retryshare import ServiceBudget
+from damasklanding.viewlog import explain
 
 __all__ = ['Node', 'NodeStatus']
 
@@ -85,16 +86,27 @@
     )
 
 
-def _log_dependency(service, profile, missing, refused):
-    text = 'are refused' if refused else 'are admitted again'
+def _log_dependency(unusable_backends, service, profile, missing, refused):
+    names = ', '.join(sorted(missing))
+    if refused:
+        reasons = {}
+        for name in missing:
+            reasons |= unusable_backends(name)
+        logger.warning(
+            'requests to {} of profile {} are refused: their chains need {}, '
+            'which has no backend server that accepts calls ({})',
+            service,
+            profile,
+            names,
+            explain(reasons),
+        )
+        return
     logger.warning(
-        'requests to {} of profile {} {}: their chains need {}, which {} '
-        'backend server that accepts calls',
+        'requests to {} of profile {} are admitted again: their chains need '
+        '{}, which has a backend server that accepts calls',
         service,
         profile,
-        text,
-        ', '.join(sorted(missing)),
-        'has no' if refused else 'has a',
+        names,
     )
 
 
@@ -237,7 +249,7 @@
             now_ms,
             forwarder.has_backend,
             partial(gevent.spawn, ensure_service),
-            _log_dependency,
+            partial(_log_dependency, forwarder.unusable_backends),
         )
         self.egress = None
         if caller_dialect is not None:
--- a/damasklanding/node/forward.py
+++ b/damasklanding/node/forward.py
@@ -116,6 +116,16 @@
         """Return whether a backend server of a service accepts calls."""
         return self._router.has_usable(self._candidates_of(service))
 
+    def unusable_backends(self, service):
+        """
+        Return why by name for a service's servers that get no calls.
+
+        It covers what the configuration says and what their nodes report.
+        """
+        reasons = self._view.unusable_backends(service)
+        candidates = self._candidates_of(service)
+        return reasons | self._router.unusable(candidates)
+
     def _try(self, call, tries):
         """Make one attempt; return None or the failed answer or error."""
         try:
--- a/damasklanding/node/presence.py
+++ b/damasklanding/node/presence.py
@@ -9,8 +9,10 @@
 from collections import deque
 from dataclasses import dataclass
 
+from damasklanding.clock import monotonic_ms
 from damasklanding.clock import wall_ms
 from damasklanding.errors import BadInput
+from damasklanding.logs import CappedLog
 from damasklanding.node.registration import Announcement
 
 __all__ = ['BackendPresence', 'BackendReport']
@@ -68,6 +70,8 @@
         self._latest = None
         self._left = False
         self._suspects = deque(maxlen=MAX_SUSPECTS)
+        self._logged_state = None
+        self._log = CappedLog(monotonic_ms)
 
     def handle_report(self, report):
         """
@@ -79,6 +83,18 @@
 
         :raises BadInput: it is of another address, or not believed.
         """
+        try:
+            self._take_report(report)
+        except BadInput as error:
+            self._log.write(
+                'report',
+                f'a report of {_title(report)} is refused: {error.problem}; '
+                f'the latest is {_title(self._latest)}',
+                'WARNING',
+            )
+            raise
+
+    def _take_report(self, report):
         if report.address != self._address:
             raise BadInput(
                 f'{report.address} is not the backend server of this node',
@@ -90,10 +106,13 @@
         self._latest = report
         self._left = False
         cold = report.cold_for_ms > 0
+        state = 'in' if report.in_service else 'draining'
+        text = 'in, cold' if cold and state == 'in' else state
+        self._log_state(text, report, f'report {_title(report)}')
         self._announce(
             Announcement(
                 service=report.service,
-                state='in' if report.in_service else 'draining',
+                state=state,
                 cold=cold,
                 slots=report.slots,
                 instance=report.instance,
@@ -105,12 +124,20 @@
     def record_departure(self, instance, started_at_ms=0):
         """Note that a start of the backend server takes no new work."""
         latest = self._latest
-        if latest is None or latest.instance != instance:
-            return
-        if started_at_ms and started_at_ms < latest.started_at_ms:
+        if (
+            latest is None
+            or latest.instance != instance
+            or (started_at_ms and started_at_ms < latest.started_at_ms)
+        ):
+            self._log.write(
+                'departure',
+                f'a departure of {instance} started at {started_at_ms} is '
+                f'ignored: the latest report is {_title(latest)}',
+            )
             return
         _require_past(started_at_ms)
         self._left = True
+        self._log_state('leaving', latest, f'a departure of {instance}')
         self._announce(
             Announcement(
                 service=latest.service,
@@ -121,6 +148,14 @@
             )
         )
 
+    def _log_state(self, state, report, cause):
+        """Log the state of a start, and what said so, if it is new."""
+        logged_state = (state, report.service, _start_of(report))
+        if logged_state == self._logged_state:
+            return
+        self._logged_state = logged_state
+        self._log.write('report', f'the backend server is {state}: {cause}')
+
     def _require_plausible(self, report):
         _require_past(report.started_at_ms)
         latest = self._latest
@@ -186,9 +221,20 @@
 
 
 def _is_same_start(one, other):
-    return (one.instance, one.started_at_ms) == (
-        other.instance,
-        other.started_at_ms,
+    return _start_of(one) == _start_of(other)
+
+
+def _start_of(report):
+    return report.instance, report.started_at_ms
+
+
+def _title(report):
+    """Return what identifies a report in a log line."""
+    if report is None:
+        return 'none'
+    return (
+        f'{report.sequence} of {report.instance} ({report.service}) '
+        f'started at {report.started_at_ms}'
     )
 
 
--- a/damasklanding/node/registration.py
+++ b/damasklanding/node/registration.py
@@ -17,6 +17,7 @@
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import ExpireBackends
 from damasklanding.fleet.commands import RegisterBackend
+from damasklanding.logs import StateLog
 
 __all__ = ['Announcement', 'Registration']
 
@@ -77,6 +78,7 @@
         self._leaving = False
         self._wake = Event()
         self._greenlet = None
+        self._log = StateLog()
 
     def start(self):
         """Start to keep the entry."""
@@ -110,12 +112,9 @@
     def wanted(self):
         """Return the entry as it should stand."""
         announced = self._announced
-        state = 'draining' if self._leaving else 'in'
+        state = 'draining' if self._draining_reason() else 'in'
         if announced is None:
             return msgspec.structs.replace(self._own, state=state)
-        silent_ms = self._now_ms() - self._heard_ms
-        if announced.state != 'in' or silent_ms > ANNOUNCE_LEASE_MS:
-            state = 'draining'
         return msgspec.structs.replace(
             self._own,
             service=announced.service,
@@ -125,6 +124,20 @@
             start=announced.start,
         )
 
+    def _draining_reason(self):
+        """Return why the entry is to take no new work, empty if it may."""
+        if self._leaving:
+            return 'this node stops'
+        announced = self._announced
+        if announced is None:
+            return ''
+        if announced.state != 'in':
+            return 'the backend server drains'
+        silent_ms = self._now_ms() - self._heard_ms
+        if silent_ms > ANNOUNCE_LEASE_MS:
+            return f'no announcement for over {ANNOUNCE_LEASE_MS} ms'
+        return ''
+
     def is_current(self):
         """Return whether the configuration holds the entry as wanted."""
         entry = self._view.state.get('backend', self._own.name)
@@ -141,6 +154,8 @@
     def _run(self):
         while True:
             if not self.is_current():
+                reason = self._draining_reason()
+                self._log.note('registration', reason or 'in')
                 self._send(RegisterBackend(backend=self.wanted()))
             self._wake.wait(CHECK_MS / 1000)
             self._wake.clear()
--- a/damasklanding/node/view.py
+++ b/damasklanding/node/view.py
@@ -160,6 +160,26 @@
         data_centre = self.state.get('data_centre', name)
         return data_centre is not None and data_centre.out
 
+    def unusable_reason(self, backend):
+        """Return why a backend server gets no work, empty if it may."""
+        name = backend.data_centre
+        if self.data_centre_out(name):
+            revision = self.state.get('data_centre', name).revision
+            return f'{name} is out of service since revision {revision}'
+        if backend.held_out:
+            return 'an operator holds it out'
+        if backend.state != 'in':
+            return f'it is {backend.state}'
+        return ''
+
+    def unusable_backends(self, service):
+        """Return why by name for a service's servers that get no work."""
+        reasons = {
+            backend.name: self.unusable_reason(backend)
+            for backend in self.backends(service)
+        }
+        return {name: reason for name, reason in reasons.items() if reason}
+
     def _changed(self, changes):
         kinds = {change.kind for change in changes}
         if 'service' in kinds:
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -244,6 +244,23 @@
         """Return whether a backend server accepts calls, as far as known."""
         return bool(self._usable(candidates, (), self._now_ms()))
 
+    def unusable(self, candidates):
+        """Return why by name for backend servers that accept no calls."""
+        now_ms = self._now_ms()
+        usable = {c.backend.name for c in self._usable(candidates, (), now_ms)}
+        return {
+            backend.name: self._unusable_reason(backend, now_ms)
+            for backend in candidates
+            if backend.name not in usable
+        }
+
+    def _unusable_reason(self, backend, now_ms):
+        stats = self._stats_of(backend.name)
+        if stats.leaving_start and backend.start == stats.leaving_start:
+            return f'its start {backend.start} has said that it leaves'
+        age_ms = now_ms - stats.reported_ms
+        return f'its node reported {age_ms:.0f} ms ago that it drains'
+
     def _without_failing(self, candidates, now_ms):
         """
         Leave out candidates that fail far more often than the others.
--- a/damasklanding/policy/throttle.py
+++ b/damasklanding/policy/throttle.py
@@ -69,6 +69,10 @@
 CHAIN_THROTTLE_SETTINGS = ThrottleSettings(1.3, 2.0, 1_500.0)
 
 
+def _nothing(*_args):
+    return None
+
+
 class _DecayingCounts:
     """
     Two counts that decay exponentially with time.
@@ -102,19 +106,31 @@
     Counts of one combination of service, profile and importance.
 
     :ivar answers_in_row: answered requests since the last overload.
+    :ivar is_shed: whether most such requests were refused at the last change
+        that was noted.
     :ivar overloaded_ms: time of the last overload.
     :param due: admissions that are due at first, in [0, 1), so that hosts do
         not admit in step.
     """
 
-    __slots__ = ('_due', 'answers_in_row', 'overloaded_ms')
+    __slots__ = ('_due', 'answers_in_row', 'is_shed', 'overloaded_ms')
 
     def __init__(self, now_ms, decay_ms, due):
         super().__init__(now_ms, decay_ms)
         self.answers_in_row = 0
+        self.is_shed = False
         self.overloaded_ms = float('-inf')
         self._due = due
 
+    def has_crossed(self, refused_ratio):
+        """Note whether most requests are refused; return if that is new."""
+        limit = 0.0 if self.is_shed else SHED_REFUSED_RATIO
+        is_shed = refused_ratio > limit
+        if is_shed == self.is_shed:
+            return False
+        self.is_shed = is_shed
+        return True
+
     def take_turn(self, refused_ratio):
         """
         Return whether the next request is admitted.
@@ -206,12 +222,23 @@
     :param now_ms: function that returns the current time in milliseconds.
     :param random: function that returns a float in [0, 1).
     :param settings: :class:`ThrottleSettings`.
+    :param on_change: function of service, profile, importance, whether most
+        of such requests are refused from now on, and the recent counts of
+        answered and of all requests; called when most are refused, and when
+        none is any more.
     """
 
-    def __init__(self, now_ms, random, settings=DEFAULT_THROTTLE_SETTINGS):
+    def __init__(
+        self,
+        now_ms,
+        random,
+        settings=DEFAULT_THROTTLE_SETTINGS,
+        on_change=_nothing,
+    ):
         self._now_ms = now_ms
         self._random = random
         self._settings = settings
+        self._on_change = on_change
         self._routes = {}
 
     def check(self, service, profile, importance):
@@ -225,7 +252,17 @@
         :raises Overloaded: the request is refused and has not been run.
         """
         route = self._route(service, profile, importance)
-        if not route.take_turn(self._refused_ratio(route)):
+        refused_ratio = self._refused_ratio(route)
+        if route.has_crossed(refused_ratio):
+            self._on_change(
+                service,
+                profile,
+                importance,
+                route.is_shed,
+                route.accepts,
+                route.events,
+            )
+        if not route.take_turn(refused_ratio):
             route.events += 1.0
             raise Overloaded(
                 f'requests like this one to {service} are shed further down '
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -309,6 +309,11 @@
                     text += file.read()
         return text
 
+    def log_of(self, ip):
+        """Return what the process at an address has written."""
+        with open(os.path.join(self.folder, f'{ip}.log'), 'rb') as file:
+            return file.read().decode()
+
     def stop(self):
         for process in self.processes.values():
             if process.poll() is None:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,8 +1,11 @@
 import json
 
+import gevent
 from loguru import logger
 import pytest
 
+from damasklanding.clock import monotonic_ms
+from damasklanding.logs import CappedLog
 from damasklanding.logs import StateLog
 from damasklanding.logs import configure_logs
 from damasklanding.logs import mask_secrets
@@ -68,3 +71,27 @@
     for number in range(StateLog.MAX_SUBJECTS + 10):
         log.note(number, 'up')
     assert len(log.states) == StateLog.MAX_SUBJECTS
+
+
+def test_lines_of_one_kind_are_capped_and_the_rest_is_counted(lines):
+    configure_logs('info', False, sink=lines.append)
+    now_ms = [0.0]
+    log = CappedLog(lambda: now_ms[0])
+    for number in range(CappedLog.LINES_PER_S + 7):
+        log.write('order', f'order {number}')
+    log.write('version', 'version 1')
+    assert len(lines) == CappedLog.LINES_PER_S + 1
+    log.summarise()
+    assert lines[-1].endswith('order: 7 more lines were left out')
+    now_ms[0] += CappedLog.WINDOW_MS
+    log.write('order', 'order 99')
+    assert lines[-1].endswith('order 99')
+
+
+def test_count_of_left_out_lines_follows_within_the_window(lines):
+    configure_logs('info', False, sink=lines.append)
+    log = CappedLog(monotonic_ms)
+    for number in range(CappedLog.LINES_PER_S + 1):
+        log.write('order', f'order {number}')
+    gevent.sleep(1.5 * CappedLog.WINDOW_MS / 1000)
+    assert lines[-1].endswith('order: 1 more lines were left out')
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -4,6 +4,8 @@
 import pytest
 
 from damasklanding.errors import BadInput
+from damasklanding.logs import CappedLog
+from damasklanding.logs import configure_logs
 from damasklanding.node.presence import BackendPresence
 from damasklanding.node.presence import BackendReport
 
@@ -146,3 +148,54 @@
             but(instance='i-2', started_at_ms=2_000, sequence=10**6 + 1)
         )
     assert len(announced) == 2
+
+
+@pytest.fixture()
+def lines():
+    written = []
+    configure_logs('info', False, sink=written.append)
+    yield written
+    configure_logs()
+
+
+def test_state_of_a_start_is_logged_once_with_the_report_that_said_it(
+    presence, lines
+):
+    presence.handle_report(but(cold_for_ms=1_500))
+    presence.handle_report(but(cold_for_ms=500, sequence=5))
+    presence.handle_report(but(sequence=6))
+    presence.handle_report(but(in_service=False, sequence=7))
+    states = [line.split('backend server ')[1] for line in lines]
+    assert states == [
+        'is in, cold: report 4 of i-1 (desk) started at 1000',
+        'is in: report 6 of i-1 (desk) started at 1000',
+        'is draining: report 7 of i-1 (desk) started at 1000',
+    ]
+
+
+def test_departure_is_logged_and_one_of_another_start_too(presence, lines):
+    presence.handle_report(REPORT)
+    presence.record_departure('i-9')
+    presence.record_departure('i-1', 1_000)
+    assert 'departure of i-9 started at 0 is ignored' in lines[1]
+    assert 'the latest report is 4 of i-1 (desk)' in lines[1]
+    assert 'is leaving: a departure of i-1' in lines[2]
+
+
+def test_refused_report_is_logged_with_its_reason_and_the_latest(
+    presence, lines
+):
+    presence.handle_report(REPORT)
+    with contextlib.suppress(BadInput):
+        presence.handle_report(but(sequence=9_000_000))
+    assert 'report of 9000000 of i-1 (desk)' in lines[1]
+    assert 'far ahead' in lines[1]
+    assert 'the latest is 4 of i-1 (desk) started at 1000' in lines[1]
+
+
+def test_run_of_refused_reports_writes_few_lines(presence, lines):
+    presence.handle_report(REPORT)
+    for sequence in range(1_000_000, 2_000_000_000, 1_000_000):
+        with contextlib.suppress(BadInput):
+            presence.handle_report(but(sequence=sequence))
+    assert len(lines) <= 2 * CappedLog.LINES_PER_S
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -184,3 +184,20 @@
     """Guards against a throttle that stays closed at hosts with few calls."""
     refused = {seed: refused_after_a_limit(clock, seed) for seed in range(400)}
     assert not {seed: count for seed, count in refused.items() if count}
+
+
+def test_begin_and_end_of_refusals_are_reported_once_with_their_counts(clock):
+    changes = []
+    throttle = AdaptiveThrottle(
+        lambda: clock[0],
+        random.Random(1).random,
+        on_change=lambda *change: changes.append(change),
+    )
+    run(throttle, clock, 2, 200, lambda index: True)
+    assert not changes
+    run(throttle, clock, 2, 200, lambda index: False)
+    ((*kind, is_shed, answered, asked),) = changes
+    assert (kind, is_shed) == (['balance', 'p', 1], True)
+    assert answered < asked / 2
+    run(throttle, clock, 10, 200, lambda index: True)
+    assert [change[3] for change in changes] == [True, False]
