Refuse kinds of requests only while the own view lacks the service

Cause: the node beside the last caller learns of a departure from the server's own node, the entry 100 to 200 ms later from the configuration. Failures reported from below began the refusals, and the own view, which still had the server, ended them at once and forgot the failures.

Now the refusals begin when enough requests have failed and the own view has no server, whichever comes last, and only refusals that began are ended. test_refusals_do_not_flap_while_the_view_still_has_a_server fails on the code before (five begins and ends in place of none).

--- a/damasklanding/policy/dependencies.py
+++ b/damasklanding/policy/dependencies.py
@@ -28,12 +28,14 @@
     :ivar missing: services without a backend server that they needed.
     :ivar failures_in_row: requests that failed for lack of such a service
         since one was answered.
+    :ivar is_refused: whether such requests are refused.
     :ivar probe_interval_ms: time from one probe to the next.
     :ivar next_probe_ms: time from which one more request is admitted.
     """
 
     __slots__ = (
         'failures_in_row',
+        'is_refused',
         'missing',
         'next_probe_ms',
         'probe_interval_ms',
@@ -42,6 +44,7 @@
     def __init__(self):
         self.missing = frozenset()
         self.failures_in_row = 0
+        self.is_refused = False
         self.probe_interval_ms = MIN_PROBE_INTERVAL_MS
         self.next_probe_ms = 0.0
 
@@ -78,11 +81,14 @@
         kind = self._kinds.get((service, profile))
         if kind is None:
             return
-        if any(map(self._has_backend, kind.missing)):
-            self._forget(service, profile)
+        if self._is_usable(kind):
+            if kind.is_refused:
+                self._forget(service, profile)
             return
         if kind.failures_in_row < MIN_FAILURES_IN_ROW:
             return
+        if not kind.is_refused:
+            self._refuse(service, profile, kind)
         now_ms = self._now_ms()
         if now_ms >= kind.next_probe_ms:
             kind.next_probe_ms = now_ms + kind.probe_interval_ms
@@ -118,11 +124,23 @@
             self._watch_service(name)
         kind.missing = missing
         kind.failures_in_row += 1
-        if kind.failures_in_row == MIN_FAILURES_IN_ROW:
-            kind.next_probe_ms = self._now_ms() + kind.probe_interval_ms
-            self._on_change(service, profile, missing, True)
+        # Another node may know of a departure before the configuration does.
+        if (
+            kind.failures_in_row >= MIN_FAILURES_IN_ROW
+            and not kind.is_refused
+            and not self._is_usable(kind)
+        ):
+            self._refuse(service, profile, kind)
+
+    def _is_usable(self, kind):
+        return any(map(self._has_backend, kind.missing))
+
+    def _refuse(self, service, profile, kind):
+        kind.is_refused = True
+        kind.next_probe_ms = self._now_ms() + kind.probe_interval_ms
+        self._on_change(service, profile, kind.missing, True)
 
     def _forget(self, service, profile):
         kind = self._kinds.pop((service, profile), None)
-        if kind is not None and kind.failures_in_row >= MIN_FAILURES_IN_ROW:
+        if kind is not None and kind.is_refused:
             self._on_change(service, profile, kind.missing, False)
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -107,3 +107,16 @@
     assert fixture.admits()
     fixture.succeed()
     assert all(fixture.admits() for _ in range(10))
+
+
+def test_refusals_do_not_flap_while_the_view_still_has_a_server(fixture):
+    fixture.available.add('ledger')
+    for _ in range(5):
+        fixture.fail(MIN_FAILURES_IN_ROW)
+        assert fixture.admits()
+    assert not fixture.changes
+    fixture.available.clear()
+    assert not fixture.admits()
+    fixture.available.add('ledger')
+    assert fixture.admits()
+    assert [change[-1] for change in fixture.changes] == [True, False]
