Admit chains to a cold service as its cold servers bear them

Cause: the entry forgot which requests need the service as soon as it had a server, although the node beside it admits 12 calls a second for 3 s. The class is that of the throttle that opens by one probe: all nodes take the first sign for the whole.

The entry now keeps what it knows until one of the service's servers is warm, and admits in turns: each node its part of the rate that cold servers are known to bear, rarer with each chain that fails, since a chain may need several calls. The others are refused unrun with Retry-After. The router counts the servers of a data centre that has just come back as cold until their nodes, which have seen the order, say otherwise.

Ruled out: opening the throttle slowly in place of turns; it lets 2.5 a second of each kind through at each of 13 nodes.

--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -34,19 +34,19 @@
 from damasklanding.node.peerserver import PeerServer
 from damasklanding.node.stopping import PlannedStop
 from damasklanding.node.upstream import Upstream
+from damasklanding.policy.coldturns import ColdTurns
 from damasklanding.policy.dependencies import DependencyCheck
 from damasklanding.policy.quarantine import Quarantine
 from damasklanding.policy.retryshare import NO_RETRY_BOUND
 from damasklanding.policy.retryshare import RetryShares
 from damasklanding.policy.retryshare import ServiceBudget
+from damasklanding.policy.routing import RETURNED_COLD_MS
 from damasklanding.viewlog import explain
 
 __all__ = ['Node', 'NodeStatus']
 
 COLLECTOR_THRESHOLDS = (10_000, 50, 50)
 DRAIN_POLL_MS = 20
-#: Two announcements of a backend server, which come every 1.5 s.
-RETURNED_COLD_MS = 3_000
 #: A pool in use proves its connections many times a second.
 SUSPECT_AFTER_MS = 1_000
 IDLE_GRACE_MS = 500  # lets idle callers learn that the node leaves
@@ -250,6 +250,11 @@
             forwarder.has_backend,
             partial(gevent.spawn, ensure_service),
             partial(_log_dependency, forwarder.unusable_backends),
+            ColdTurns(
+                now_ms,
+                Random(settings.name).random,
+                forwarder.cold_interval_ms,
+            ),
         )
         self.egress = None
         if caller_dialect is not None:
--- a/damasklanding/node/forward.py
+++ b/damasklanding/node/forward.py
@@ -81,6 +81,7 @@
         self._metrics = metrics
         self._now_ms = view.now_ms
         self._candidates = {}
+        self._out = set()
         view.subscribe(self._on_changes)
 
     def forward(self, call):
@@ -116,6 +117,16 @@
         """Return whether a backend server of a service accepts calls."""
         return self._router.has_usable(self._candidates_of(service))
 
+    def cold_interval_ms(self, service):
+        """
+        Return the time between two calls of this node to a cold service.
+
+        :return: 0.0 unless all its usable backend servers are cold.
+        """
+        candidates = self._candidates_of(service)
+        self._update_own_load(candidates)
+        return self._router.cold_interval_ms(candidates)
+
     def unusable_backends(self, service):
         """
         Return why by name for a service's servers that get no calls.
@@ -152,11 +163,14 @@
 
     def _choose(self, call, excluded):
         candidates = self._candidates_of(call.service)
+        self._update_own_load(candidates)
+        return self._router.choose(candidates, call, excluded)
+
+    def _update_own_load(self, candidates):
         for backend in candidates:
             if backend.name == self._name:
                 self._router.update_load(self._name, self._own_load())
                 break
-        return self._router.choose(candidates, call, excluded)
 
     def _candidates_of(self, service):
         candidates = self._candidates.get(service)
@@ -175,9 +189,19 @@
         return candidates
 
     def _on_changes(self, changes):
+        for change in changes:
+            if change.kind == 'data_centre':
+                self._note_data_centre(change.name)
         if any(item.kind in ('backend', 'data_centre') for item in changes):
             self._candidates.clear()
 
+    def _note_data_centre(self, name):
+        if self._view.data_centre_out(name):
+            self._out.add(name)
+        elif name in self._out:
+            self._out.discard(name)
+            self._router.note_return(name)
+
     def _attempt(self, backend, call):
         name = backend.name
         started_ms = self._now_ms()
--- a/damasklanding/policy/dependencies.py
+++ b/damasklanding/policy/dependencies.py
@@ -4,10 +4,12 @@
 
 Services that the call chains of requests need and that have no backend
 server.  An entry node learns them from requests that failed for lack of one,
-and refuses further requests of the same kind before they run.
+and refuses further requests of the same kind before they run.  While the first
+servers of such a service are cold, it admits as many as these can bear.
 """
 
 from damasklanding.errors import Unavailable
+from damasklanding.policy.coldturns import Turn
 
 __all__ = ['DependencyCheck']
 
@@ -53,7 +55,8 @@
     """
     Refuses requests whose call chains need a service without backend servers.
 
-    As soon as the service has a backend server again, they are admitted.
+    Once the service has backend servers again, they are admitted: in turns
+    while all of these are cold, and all as soon as one is warm.
 
     :param now_ms: function that returns the current time in milliseconds.
     :param has_backend: function of a service's name; returns whether one of
@@ -63,10 +66,14 @@
     :param on_change: function of a service, a profile, the names of the
         missing services and whether requests are refused from now on; called
         when that changes.
+    :param cold_turns: :class:`~damasklanding.policy.coldturns.ColdTurns`.
     """
 
-    def __init__(self, now_ms, has_backend, watch_service, on_change):
+    def __init__(
+        self, now_ms, has_backend, watch_service, on_change, cold_turns
+    ):
         self._now_ms = now_ms
+        self._cold_turns = cold_turns
         self._has_backend = has_backend
         self._watch_service = watch_service
         self._on_change = on_change
@@ -83,7 +90,7 @@
             return
         if self._is_usable(kind):
             if kind.is_refused:
-                self._forget(service, profile)
+                self._admit_to_cold(service, profile, kind)
             return
         if kind.failures_in_row < MIN_FAILURES_IN_ROW:
             return
@@ -111,7 +118,11 @@
         :param missing: names of the services without a backend server that
             its call chain needed.
         """
-        if succeeded:
+        kind = self._kinds.get((service, profile))
+        if kind is not None and kind.is_refused and self._is_usable(kind):
+            for name in kind.missing:
+                self._cold_turns.note(name, succeeded)
+        elif succeeded:
             self._forget(service, profile)
         elif missing:
             self._note_failure(service, profile, frozenset(missing))
@@ -132,6 +143,24 @@
         ):
             self._refuse(service, profile, kind)
 
+    def _admit_to_cold(self, service, profile, kind):
+        """
+        Admit a request whose service has just got backend servers again.
+
+        :raises Unavailable: they are cold, and it is not this node's turn.
+        """
+        usable = filter(self._has_backend, kind.missing)
+        verdicts = {name: self._cold_turns.take(name) for name in usable}
+        if Turn.WARM in verdicts.values():
+            self._forget(service, profile)
+        elif Turn.DUE not in verdicts.values():
+            names = ', '.join(sorted(verdicts))
+            raise Unavailable(
+                f'requests like this one need {names}, whose backend servers '
+                f'are cold',
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+
     def _is_usable(self, kind):
         return any(map(self._has_backend, kind.missing))
 
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -39,6 +39,11 @@
 #: Time after a backend server has joined cold during which it counts as cold
 #: without a load report.
 JOINING_MS = 5_000.0
+#: Time for which the backend servers of a data centre count as cold after its
+#: return: two announcements, which come every 1.5 s.
+RETURNED_COLD_MS = 3_000.0
+#: Time after a return within which a node may report from before it.
+RETURN_SETTLE_MS = 1_000.0
 
 FAILURE_POINTS = {
     CallResult.FAILED: 1,
@@ -168,6 +173,7 @@
         self._node_count = node_count
         self._stats = {}
         self._candidates = {}
+        self._returned_ms = {}
 
     def subset(self, backends):
         """
@@ -300,12 +306,39 @@
         backend = candidate.backend
         if backend.name == self._own_name:
             return False
-        report = candidate.stats.report
-        if report is not _UNKNOWN:
-            return report.cold
+        return self._is_warming(candidate, now_ms)
+
+    def _is_warming(self, candidate, now_ms):
+        backend = candidate.backend
+        stats = candidate.stats
+        returned_ms = self._returned_ms.get(backend.data_centre, float('-inf'))
+        if (
+            now_ms - returned_ms < RETURNED_COLD_MS
+            and stats.reported_ms < returned_ms + RETURN_SETTLE_MS
+        ):
+            return True
+        if stats.report is not _UNKNOWN:
+            return stats.report.cold
         age_ms = now_ms - candidate.joined_ms
         return backend.cold_start and age_ms < JOINING_MS
 
+    def note_return(self, data_centre):
+        """Note that a data centre has just been taken back into service."""
+        self._returned_ms[data_centre] = self._now_ms()
+
+    def cold_interval_ms(self, candidates):
+        """
+        Return the time between two calls of this node to a cold service.
+
+        :return: 0.0 unless all its usable backend servers are cold and their
+            rate is known.
+        """
+        now_ms = self._now_ms()
+        usable = self._usable(candidates, (), now_ms)
+        if not usable or not all(self._is_warming(c, now_ms) for c in usable):
+            return 0.0
+        return self._cold_interval_ms(usable[0].backend) / len(usable)
+
     def _has_cold_turn(self, candidate, now_ms):
         interval_ms = self._cold_interval_ms(candidate.backend)
         stats = candidate.stats
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -3,6 +3,7 @@
 import pytest
 
 from damasklanding.errors import Unavailable
+from damasklanding.policy.coldturns import ColdTurns
 from damasklanding.policy.dependencies import MAX_PROBE_INTERVAL_MS
 from damasklanding.policy.dependencies import MIN_FAILURES_IN_ROW
 from damasklanding.policy.dependencies import DependencyCheck
@@ -13,6 +14,7 @@
 
     def __init__(self):
         self.now_ms = 0.0
+        self.interval_ms = 0.0
         self.available = set()
         self.changes = []
         self.watched = []
@@ -21,6 +23,9 @@
             self.available.__contains__,
             self.watched.append,
             lambda *change: self.changes.append(change),
+            ColdTurns(
+                lambda: self.now_ms, lambda: 0.0, lambda name: self.interval_ms
+            ),
         )
 
     def admits(self, profile='view'):
