--- a/damasklanding/commands/fleet.py
+++ b/damasklanding/commands/fleet.py
@@ -56,11 +56,17 @@
 
 
 class FleetStatus(msgspec.Struct):
-    """The status that ``status`` prints."""
+    """
+    The status that ``status`` prints.
+
+    :ivar empty_services: services without a usable backend server, each with
+        why its servers can't be used.
+    """
 
     control_hosts: list[HostLine]
     nodes: list[NodeLine]
     data_centres_out: list[str]
+    empty_services: dict[str, str]
 
 
 @click.command('status', cls=ToolCommand)
@@ -84,6 +90,7 @@
             for item in backends
         ],
         out,
+        newest.get('empty_services', {}),
     )
     tool.show(fleet, _status_text(fleet))
 
@@ -142,11 +149,15 @@
     hosts = [msgspec.structs.astuple(line) for line in fleet.control_hosts]
     nodes = [msgspec.structs.astuple(line) for line in fleet.nodes]
     out = ', '.join(fleet.data_centres_out) or 'none'
+    empty = [
+        f'service {name} has no usable backend server: {why}'
+        for name, why in fleet.empty_services.items()
+    ]
     return '\n\n'.join(
         (
             render_table(_HOST_HEADINGS, hosts),
             render_table(_NODE_HEADINGS, nodes),
-            f'data centres out: {out}',
+            '\n'.join([f'data centres out: {out}', *empty]),
         )
     )
 
--- a/damasklanding/commands/resources.py
+++ b/damasklanding/commands/resources.py
@@ -7,6 +7,7 @@
 """
 
 from dataclasses import dataclass
+from functools import partial
 
 import click
 
@@ -197,6 +198,9 @@
     ),
 )
 
+#: Actions that may take the last usable backend servers of a service.
+_EMPTYING_VERBS = frozenset(('out', 'drain'))
+
 _RESULT_WORDS = {
     'out': 'out',
     'in': 'in',
@@ -340,15 +344,40 @@
 
 
 def _add_action(group, kind, verb, segment, text):
-    @group.command(verb, help=text)
-    @click.argument('name')
-    @change_options
-    def act(change, name):
-        path = api_path(kind.collection, name, segment)
+    def send(change, name, force):
+        path = api_path(
+            kind.collection,
+            name,
+            segment,
+            unless_emptying=None if force else 1,
+        )
         written = change.send('POST', path)
         revision = written['revision']
+        emptied = ', '.join(written.get('emptied_services', ()))
+        if emptied:
+            change.tool.note(
+                f'warning: no usable backend server is left of {emptied}'
+            )
         change.finish(
             written,
             f'{kind.name} {name} is {_RESULT_WORDS[verb]}, '
             f'revision {revision}',
         )
+
+    if verb in _EMPTYING_VERBS:
+        _register_action(group, verb, text, _force_option(send))
+    else:
+        _register_action(group, verb, text, partial(send, force=True))
+
+
+def _force_option(send):
+    return click.option(
+        '--force',
+        is_flag=True,
+        help='Also where a service is left without a usable backend server.',
+    )(send)
+
+
+def _register_action(group, verb, text, send):
+    function = click.argument('name')(change_options(send))
+    group.command(verb, help=text)(function)
--- a/damasklanding/control/admin.py
+++ b/damasklanding/control/admin.py
@@ -26,7 +26,9 @@
 from damasklanding.errors import Conflict
 from damasklanding.errors import DamasklandingError
 from damasklanding.errors import NotFound
+from damasklanding.errors import WouldEmpty
 from damasklanding.errors import error_from_code
+from damasklanding.fleet.availability import services_emptied
 from damasklanding.fleet.commands import DeleteResource
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import GrantKey
@@ -38,6 +40,7 @@
 from damasklanding.fleet.commands import SetDataCentre
 from damasklanding.fleet.commands import WithdrawKey
 from damasklanding.snapshot import encode_snapshot
+from damasklanding.viewlog import explain
 from damasklanding.webapi import bearer_token
 from damasklanding.webapi import expected_revision
 from damasklanding.webapi import framework_error
@@ -93,12 +96,18 @@
     age_ms: int | None
 
 
-class Written(msgspec.Struct):
-    """Response to a write that has been committed."""
+class Written(msgspec.Struct, omit_defaults=True):
+    """
+    Response to a write that has been committed.
+
+    :ivar emptied_services: services whose last usable backend servers it has
+        taken.
+    """
 
     revision: int
     request_id: str
     operator: str
+    emptied_services: list[str] = []
 
 
 def admin_app(host, tokens, metrics, telemetry=None):
@@ -226,16 +235,24 @@
         if action not in _OUT_ACTIONS:
             raise NotFound(f'no action {action}', 'use out or in')
         region = _require_resource(host, 'data_centre', name).region
-        command = SetDataCentre(
-            name=name, out=_OUT_ACTIONS[action], region=region
+        out = _OUT_ACTIONS[action]
+        emptied = _services_emptied(
+            host,
+            lambda backend: out and backend.data_centre == name,
         )
-        return _propose(host, operator, command)
+        command = SetDataCentre(name=name, out=out, region=region)
+        return _propose(host, operator, command, emptied)
 
     def hold_backend(operator, name, action):
         if action not in _HOLD_ACTIONS:
             raise NotFound(f'no action {action}', 'use drain or return')
-        command = HoldBackend(name=name, held_out=_HOLD_ACTIONS[action])
-        return _propose(host, operator, command)
+        held_out = _HOLD_ACTIONS[action]
+        emptied = _services_emptied(
+            host,
+            lambda backend: held_out and backend.name == name,
+        )
+        command = HoldBackend(name=name, held_out=held_out)
+        return _propose(host, operator, command, emptied)
 
     return (
         ('PUT', '/v1/<collection>/<name>', put_resource),
@@ -259,6 +276,10 @@
                 for item in host.view.state.all('data_centre').values()
                 if item.out
             ],
+            empty_services={
+                name: explain(reasons)
+                for name, reasons in host.view.empty_services().items()
+            },
         )
 
     def history(operator):
@@ -296,7 +317,23 @@
     )
 
 
-def _propose(host, operator, command):
+def _services_emptied(host, is_taken):
+    """
+    Return the services that an order leaves without a usable server.
+
+    :raises WouldEmpty: it takes the last one of some, and the query has
+        ``unless_emptying``.
+    """
+    state = host.view.state
+    newly = services_emptied(state, is_taken, newly=True)
+    if newly and bottle.request.query.get('unless_emptying') == '1':
+        raise WouldEmpty(
+            'this takes the last usable backend servers of ' + ', '.join(newly)
+        )
+    return services_emptied(state, is_taken)
+
+
+def _propose(host, operator, command, emptied=()):
     resend_id = request_id()
     bottle.response.set_header('Request-Id', resend_id)
     envelope = Envelope(
@@ -311,7 +348,7 @@
         raise _error_from(outcome)
     _await_revision(host.view, outcome.revision)
     bottle.response.set_header('ETag', f'"{outcome.revision}"')
-    return Written(outcome.revision, resend_id, operator)
+    return Written(outcome.revision, resend_id, operator, list(emptied))
 
 
 def _await_revision(view, revision):
--- a/damasklanding/errors.py
+++ b/damasklanding/errors.py
@@ -40,6 +40,7 @@
     'Unavailable',
     'UpstreamFailed',
     'UpstreamTimeout',
+    'WouldEmpty',
     'error_from_code',
 ]
 
@@ -140,6 +141,15 @@
     remedy = 'read the current revision, decide again and resend'
 
 
+class WouldEmpty(DamasklandingError):
+    """An order that takes the last usable backend servers of a service."""
+
+    code = 'would-empty'
+    http_status = 409
+    exit_status = 4
+    remedy = 'start other backend servers first, or repeat it with --force'
+
+
 class Forbidden(DamasklandingError):
     """A token or fleet secret that does not match."""
 
--- a/damasklanding/node/view.py
+++ b/damasklanding/node/view.py
@@ -15,6 +15,7 @@
 from damasklanding.errors import KeyRefused
 from damasklanding.errors import NotFound
 from damasklanding.errors import StaleState
+from damasklanding.fleet.availability import unusable_reason
 from damasklanding.fleet.configurations import CONFIGURATION_NAME
 from damasklanding.fleet.state import FleetState
 
@@ -160,26 +161,22 @@
         data_centre = self.state.get('data_centre', name)
         return data_centre is not None and data_centre.out
 
-    def unusable_reason(self, backend):
-        """Return why a backend server gets no work, empty if it may."""
-        name = backend.data_centre
-        if self.data_centre_out(name):
-            revision = self.state.get('data_centre', name).revision
-            return f'{name} is out of service since revision {revision}'
-        if backend.held_out:
-            return 'an operator holds it out'
-        if backend.state != 'in':
-            return f'it is {backend.state}'
-        return ''
-
     def unusable_backends(self, service):
         """Return why by name for a service's servers that get no work."""
         reasons = {
-            backend.name: self.unusable_reason(backend)
+            backend.name: unusable_reason(self.state, backend)
             for backend in self.backends(service)
         }
         return {name: reason for name, reason in reasons.items() if reason}
 
+    def empty_services(self):
+        """Return the services with backend servers of which none is usable."""
+        return {
+            service: reasons
+            for service, backends in sorted(self._backends.items())
+            if len(reasons := self.unusable_backends(service)) == len(backends)
+        }
+
     def _changed(self, changes):
         kinds = {change.kind for change in changes}
         if 'service' in kinds:
--- a/damasklanding/platform/operators.py
+++ b/damasklanding/platform/operators.py
@@ -12,6 +12,7 @@
 import bottle
 
 from damasklanding.errors import DamasklandingError
+from damasklanding.fleet.availability import services_emptied
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import SetDataCentre
 from damasklanding.fleet.datacentres import require_data_centre_name
@@ -80,8 +81,15 @@
         return zlib.decompress(document)
 
     def set_out(name, out):
-        require_data_centre_name(host.view.state, name)
-        return propose(SetDataCentre(name=name, out=out))
+        state = host.view.state
+        require_data_centre_name(state, name)
+        emptied = services_emptied(
+            state, lambda backend: out and backend.data_centre == name
+        )
+        answer = propose(SetDataCentre(name=name, out=out))
+        if emptied and 'error' not in answer:
+            answer['emptiedServices'] = emptied
+        return answer
 
     @app.post('/evacuation/<name>')
     @convert_errors
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -228,6 +228,36 @@
     assert answer.status == 404
 
 
+def test_order_that_empties_a_service_is_answered_with_its_name(
+    app_and_fakes,
+):
+    app, host, _, _ = app_and_fakes
+    host.put('data_centre', DataCentre(name='obihiro', region='doto'))
+    host.put(
+        'backend',
+        Backend(
+            name='n1',
+            instance='i1',
+            data_centre='obihiro',
+            peer_address='127.0.0.1:7401',
+            service='ledger',
+        ),
+    )
+    for path in ('/v1/data-centres/obihiro/out', '/v1/backends/n1/drain'):
+        checked = call(app, 'POST', f'{path}?unless_emptying=1')
+        assert (checked.status, checked.json['code']) == (409, 'would-empty')
+        assert 'ledger' in checked.json['detail']
+        emptied = call(app, 'POST', path).json['emptied_services']
+        assert emptied == ['ledger']
+        again = call(app, 'POST', f'{path}?unless_emptying=1')
+        assert (again.status, again.json['emptied_services']) == (
+            200,
+            ['ledger'],
+        )
+        back = path.replace('/out', '/in').replace('/drain', '/return')
+        assert call(app, 'POST', back).status == 200
+
+
 def test_fresh_read_is_refused_without_recent_proof(tmp_path):
     now = [0]
     app, *_ = make_app(tmp_path, FakeControlHost(now_ms=lambda: now[0]))
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -218,7 +218,13 @@
 def test_backends_and_data_centres(fleet):
     register(fleet, 'n1')
     fleet.run('data-centre', 'put', 'kushiro', '--region', 'doto')
-    assert fleet.run('backend', 'drain', 'n1').exit_code == 0
+    refused = fleet.run('backend', 'drain', 'n1')
+    assert refused.exit_code == 4
+    assert 'last usable backend servers of plan-office' in refused.stderr
+    assert fleet.json('backend', 'list')[0]['held_out'] is False
+    forced = fleet.run('backend', 'drain', 'n1', '--force')
+    assert forced.exit_code == 0
+    assert 'no usable backend server is left of plan-office' in forced.stderr
     assert fleet.json('backend', 'list')[0]['held_out'] is True
     assert 'held out' in fleet.run('status').stdout
     assert fleet.run('data-centre', 'out', 'kushiro').exit_code == 0
@@ -228,6 +234,34 @@
     assert 'kushiro' in fleet.run('data-centre', 'list').stdout
 
 
+def test_order_that_empties_a_service_needs_force(fleet):
+    register(fleet, 'n1')
+    fleet.run('data-centre', 'put', 'kushiro', '--region', 'doto')
+    refused = fleet.run('data-centre', 'out', 'kushiro')
+    assert (refused.exit_code, '--force' in refused.stderr) == (4, True)
+    assert fleet.json('status')['data_centres_out'] == []
+    forced = fleet.run('data-centre', 'out', 'kushiro', '--force')
+    assert forced.exit_code == 0
+    status = fleet.json('status')
+    assert status['data_centres_out'] == ['kushiro']
+    why = status['empty_services']['plan-office']
+    assert why.startswith('n1: kushiro is out of service since revision')
+    text = 'service plan-office has no usable backend server: n1'
+    assert text in fleet.run('status').stdout
+    assert fleet.run('data-centre', 'in', 'kushiro').exit_code == 0
+    assert fleet.json('status')['empty_services'] == {}
+
+
+def test_order_that_leaves_a_server_needs_no_force(fleet):
+    register(fleet, 'n1', 'n2')
+    result = fleet.run('backend', 'drain', 'n1')
+    assert (result.exit_code, result.stderr) == (0, '')
+    assert fleet.run('backend', 'drain', 'n2').exit_code == 4
+    # The order that has emptied the service may be sent again.
+    assert fleet.run('backend', 'drain', 'n2', '--force').exit_code == 0
+    assert fleet.run('backend', 'drain', 'n2').exit_code == 0
+
+
 def test_watchers_and_history_and_version(fleet):
     fleet.host.watching = [Watcher('n1', 'i', 0, 7)]
     entry = {'revision': 1, 'issued_at_ms': 0, 'operator': 'emi'}
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,3 +1,4 @@
+import json
 import signal
 import time
 
@@ -61,7 +62,12 @@
 
 
 def test_evacuated_data_centre_gets_nothing_until_it_returns(fleet):
-    assert fleet.operator('POST', '/evacuation/kushiro')[0] == 200
+    for number in (0, 1):  # the second one sends the same order again
+        status, _, body = fleet.operator(
+            'POST', '/evacuation/kushiro', number=number
+        )
+        emptied = json.loads(body)['emptiedServices']
+        assert (status, emptied) == (200, ['desk', 'ledger'])
     eventually(lambda: fleet.request(0, '/desk/1')[0] == 503, 5)
     assert fleet.operator('DELETE', '/evacuation/kushiro')[0] == 200
     fleet.announce(0)
