Successes from before a service was lost end no refusals

Cause: any success of the kind ended the refusals.

A success counts now only if its request was admitted after the first of the failures. test_request_from_before_the_loss_of_a_service_ends_no_refusals fails on the code before, for lack of the time of admission; without its use it fails at its first check. The line names the module that writes it.

--- a/damasklanding/logs.py
+++ b/damasklanding/logs.py
@@ -173,7 +173,8 @@
             self._written.clear()
         if self._written[kind] < self.LINES_PER_S:
             self._written[kind] += 1
-            logger.log(level, '{}', text)
+            # The line names the module that writes it.
+            logger.opt(depth=1).log(level, '{}', text)
             return
         self._left_out[kind] += 1
         if self._timer is None:
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -138,12 +138,14 @@
             return self._forward_claimed(call, key, profile, state)
 
     def _forward(self, call):
+        admitted_ms = self._now_ms()
         answer = self._forwarder.forward(call)
         self._dependencies.note(
             call.service,
             call.profile,
             answer.status < 500,
             answer.missing_services,
+            admitted_ms,
         )
         return answer
 
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -185,12 +185,14 @@
         self._throttle.check(call.service, call.profile, call.importance)
         state.admitted = True
         self._ensure_watched(call.service)
+        admitted_ms = self._now_ms()
         answer = self._forwarder.forward(call)
         self._dependencies.note(
             call.service,
             call.profile,
             answer.status < 500,
             answer.missing_services,
+            admitted_ms,
         )
         return answer
 
--- a/damasklanding/policy/dependencies.py
+++ b/damasklanding/policy/dependencies.py
@@ -30,6 +30,7 @@
     :ivar missing: services without a backend server that they needed.
     :ivar failures_in_row: requests that failed for lack of such a service
         since one was answered.
+    :ivar first_failure_ms: time of the first of these failures.
     :ivar is_refused: whether such requests are refused.
     :ivar probe_interval_ms: time from one probe to the next.
     :ivar next_probe_ms: time from which one more request is admitted.
@@ -37,15 +38,17 @@
 
     __slots__ = (
         'failures_in_row',
+        'first_failure_ms',
         'is_refused',
         'missing',
         'next_probe_ms',
         'probe_interval_ms',
     )
 
-    def __init__(self):
+    def __init__(self, now_ms):
         self.missing = frozenset()
         self.failures_in_row = 0
+        self.first_failure_ms = now_ms
         self.is_refused = False
         self.probe_interval_ms = MIN_PROBE_INTERVAL_MS
         self.next_probe_ms = 0.0
@@ -110,27 +113,33 @@
             retry_after_ms=RETRY_AFTER_MS,
         )
 
-    def note(self, service, profile, succeeded, missing):
+    def note(self, service, profile, succeeded, missing, admitted_ms):
         """
         Record the end of an admitted request.
 
+        A success proves nothing if the request was admitted before the first
+        failure, since its calls may have ended before the service lost its
+        last backend server.
+
         :param succeeded: whether its answer reports no failure.
         :param missing: names of the services without a backend server that
             its call chain needed.
+        :param admitted_ms: time at which the request was admitted.
         """
         kind = self._kinds.get((service, profile))
         if kind is not None and kind.is_refused and self._is_usable(kind):
             for name in kind.missing:
                 self._cold_turns.note(name, succeeded)
         elif succeeded:
-            self._forget(service, profile)
+            if kind is not None and admitted_ms >= kind.first_failure_ms:
+                self._forget(service, profile)
         elif missing:
             self._note_failure(service, profile, frozenset(missing))
 
     def _note_failure(self, service, profile, missing):
         kind = self._kinds.get((service, profile))
         if kind is None:
-            kind = self._kinds[service, profile] = _Kind()
+            kind = self._kinds[service, profile] = _Kind(self._now_ms())
         for name in missing - kind.missing:
             self._watch_service(name)
         kind.missing = missing
--- a/tests/test_coldturns.py
+++ b/tests/test_coldturns.py
@@ -72,7 +72,7 @@
 
     def end(self, succeeded):
         missing = () if succeeded or self.usable else {'ledger'}
-        self.check.note('desk', 'view', succeeded, missing)
+        self.check.note('desk', 'view', succeeded, missing, 0.0)
 
     def take_back(self, data_centre='kushiro'):
         self.router.note_return(data_centre)
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -37,10 +37,12 @@
 
     def fail(self, count=1, profile='view'):
         for _ in range(count):
-            self.check.note('desk', profile, False, {'ledger'})
+            self.check.note('desk', profile, False, {'ledger'}, self.now_ms)
 
-    def succeed(self, profile='view'):
-        self.check.note('desk', profile, True, ())
+    def succeed(self, profile='view', admitted_ms=None):
+        if admitted_ms is None:
+            admitted_ms = self.now_ms
+        self.check.note('desk', profile, True, (), admitted_ms)
 
 
 @pytest.fixture
@@ -89,7 +91,7 @@
 
 def test_other_failures_refuse_nothing(fixture):
     for _ in range(3 * MIN_FAILURES_IN_ROW):
-        fixture.check.note('desk', 'view', False, ())
+        fixture.check.note('desk', 'view', False, (), 0.0)
     assert fixture.admits()
 
 
@@ -125,3 +127,15 @@
     fixture.available.add('ledger')
     assert fixture.admits()
     assert [change[-1] for change in fixture.changes] == [True, False]
+
+
+def test_request_from_before_the_loss_of_a_service_ends_no_refusals(fixture):
+    before_ms = fixture.now_ms
+    fixture.now_ms += 300.0
+    fixture.fail(MIN_FAILURES_IN_ROW - 1)
+    fixture.succeed(admitted_ms=before_ms)
+    fixture.fail()
+    assert not fixture.admits()
+    fixture.succeed(admitted_ms=before_ms)
+    assert not fixture.admits()
+    assert [change[-1] for change in fixture.changes] == [True]
--- a/tests/test_usable_servers.py
+++ b/tests/test_usable_servers.py
@@ -179,7 +179,7 @@
 
     def fail_for_lack(self):
         for _ in range(MIN_FAILURES_IN_ROW):
-            self.check.note('desk', 'view', False, {'ledger'})
+            self.check.note('desk', 'view', False, {'ledger'}, 0.0)
 
     def admits(self):
         try:
