Believe reports of warm servers half a second after a return

Nodes learn of an order within 100 to 300 ms of each other, so that a report from before it can reach an entry for that long.

--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -43,7 +43,7 @@
 #: return: two announcements, which come every 1.5 s.
 RETURNED_COLD_MS = 3_000.0
 #: Time after a return within which a node may report from before it.
-RETURN_SETTLE_MS = 1_000.0
+RETURN_SETTLE_MS = 500.0
 
 FAILURE_POINTS = {
     CallResult.FAILED: 1,
