Nodes report that their data centre is out

Cause: an entry could not tell a report from before the return from one after it, so that it waited. Reports say now whether their node holds the order, and the first one that does not is believed.

test_report_of_a_warm_server_ends_the_turns fails on the code before: the report after the return ends no turn there.

--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -485,6 +485,7 @@
     def _load_report(self):
         report = self._gate.load()
         report.leaving_start = self._leaving_start
+        report.is_out = self._view.data_centre_out(self._settings.data_centre)
         return report
 
     def _on_crash(self):
@@ -509,6 +510,7 @@
         self._out = self._view.data_centre_out(self._settings.data_centre)
         if was_out and not self._out:
             self._gate.announce(True, 0, RETURNED_COLD_MS)
+            self.load_report_cache.expire()
 
     def _follow_limits(self, changes):
         if not any(change.kind == 'configuration' for change in changes):
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -42,8 +42,6 @@
 #: Time for which the backend servers of a data centre count as cold after its
 #: return: two announcements, which come every 1.5 s.
 RETURNED_COLD_MS = 3_000.0
-#: Time after a return within which a node may report from before it.
-RETURN_SETTLE_MS = 500.0
 
 FAILURE_POINTS = {
     CallResult.FAILED: 1,
@@ -312,13 +310,16 @@
         backend = candidate.backend
         stats = candidate.stats
         returned_ms = self._returned_ms.get(backend.data_centre, float('-inf'))
-        if (
-            now_ms - returned_ms < RETURNED_COLD_MS
-            and stats.reported_ms < returned_ms + RETURN_SETTLE_MS
-        ):
-            return True
-        if stats.report is not _UNKNOWN:
+        is_known = (
+            stats.report is not _UNKNOWN
+            # A node may report for a while from before the return.
+            and not stats.report.is_out
+            and stats.reported_ms >= returned_ms
+        )
+        if is_known:
             return stats.report.cold
+        if now_ms - returned_ms < RETURNED_COLD_MS:
+            return True
         age_ms = now_ms - candidate.joined_ms
         return backend.cold_start and age_ms < JOINING_MS
 
--- a/damasklanding/policy/types.py
+++ b/damasklanding/policy/types.py
@@ -80,6 +80,8 @@
         in an answer that it leaves, empty if none has.
     :ivar success_ratio: recent ratio of calls that the backend server
         neither failed nor turned away while nearly idle.
+    :ivar is_out: whether its data centre takes no work, as far as the node
+        knows.
     :ivar downstream: ``shed_below`` of overloaded services by name, as
         learned from downstream calls.
     """
@@ -97,6 +99,7 @@
     rate_per_s: float = 0.0
     leaving_start: str = ''
     success_ratio: float = 1.0
+    is_out: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/damasklanding/telemetry.py
+++ b/damasklanding/telemetry.py
@@ -129,6 +129,6 @@
 
 def _node_load(load, age_ms):
     fields = msgspec.structs.asdict(load)
-    for name in ('downstream', 'leaving_start'):
+    for name in ('downstream', 'leaving_start', 'is_out'):
         del fields[name]
     return NodeLoad(age_ms=age_ms, **fields)
--- a/tests/test_coldturns.py
+++ b/tests/test_coldturns.py
@@ -11,7 +11,6 @@
 from damasklanding.policy.coldturns import Turn
 from damasklanding.policy.dependencies import MIN_FAILURES_IN_ROW
 from damasklanding.policy.dependencies import DependencyCheck
-from damasklanding.policy.routing import RETURN_SETTLE_MS
 from damasklanding.policy.routing import RETURNED_COLD_MS
 from damasklanding.policy.routing import Router
 from damasklanding.policy.types import LoadReport
@@ -117,11 +116,14 @@
 
 def test_report_of_a_warm_server_ends_the_turns(clock):
     entry = Entry(1, clock)
+    warm = LoadReport('ledger', limit=46)
+    entry.router.update_load('k6', warm)
+    clock[0] += 1.0
     entry.take_back()
-    entry.router.update_load('k6', LoadReport('ledger', limit=46))
     assert not all(entry.admits() for _ in range(20))
-    clock[0] += RETURN_SETTLE_MS
-    entry.router.update_load('k6', LoadReport('ledger', limit=46))
+    entry.router.update_load('k6', LoadReport('ledger', 46, is_out=True))
+    assert not all(entry.admits() for _ in range(20))
+    entry.router.update_load('k6', warm)
     assert all(entry.admits() for _ in range(20))
 
 
