Believe a server's first announcement after its data centre returned

Cause: the node paces the server after a return until its next announcement says whether it is cold, but an announcement equal to the last one was ignored, and a server that is warm before and after says the same twice. The output of one node showed it: report 24 'in' at 25.674 s, back in service at 26.498 s, no report with another state until 29.5 s, when the pace lapsed.

An announcement comes every 1.5 s, from the server itself; one from before the return is older by its sequence number.

--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -509,6 +509,8 @@
         was_out = self._out
         self._out = self._view.data_centre_out(self._settings.data_centre)
         if was_out and not self._out:
+            # Otherwise an announcement equal to the last one would be ignored.
+            self._announced = None
             self._gate.announce(True, 0, RETURNED_COLD_MS)
             self.load_report_cache.expire()
 
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -266,6 +266,9 @@
     def expect_first_answer(self):
         return None
 
+    def forget_failures(self):
+        return None
+
     def note_rate(self, rate_per_s, sent_ms):
         self.rate_per_s = rate_per_s
 
