Name the services that a departure empties in its answer

What operators saw: the last ledger server left while the data centre of the other one was out, and its departure was confirmed like any other.

Cause: the node beside a server looked at its own server alone. It knows the others of the service, whose crashes it hears of, and names the services that it leaves without a usable one. The confirmation comes as before.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -420,6 +420,21 @@
             return True
         return self.view.state.get('service', name) is not None
 
+    def services_emptied_without_own(self):
+        """
+        Return the services that only the local backend server keeps usable.
+
+        :return: empty while the servers of its service are not known.
+        """
+        from damasklanding.fleet.availability import services_emptied
+
+        if not self.watch.knows_service(self.node.service):
+            return []
+        own = self.settings.name
+        return services_emptied(
+            self.view.state, lambda backend: backend.name == own
+        )
+
     def _reach(self, pool, identity):
         from damasklanding.budget.reach import Reach
 
@@ -495,6 +510,10 @@
     def ensure_service(self, _service):
         """Do nothing: the view holds all backend servers."""
 
+    def knows_service(self, _service):
+        """Return True: the view holds all backend servers."""
+        return True
+
     def _run(self):
         while True:
             self._control.beat(self._name, self._instance, self._take_status())
--- a/damasklanding/interfaces.py
+++ b/damasklanding/interfaces.py
@@ -134,7 +134,10 @@
         settings.backend_address, role.node.announce, role.may_have_service
     )
     apps = (
-        (settings.announce_address, announcement_app(presence)),
+        (
+            settings.announce_address,
+            announcement_app(presence, role.services_emptied_without_own),
+        ),
         (settings.readiness_address, readiness_app(role.not_ready)),
     )
     return [wsgi_server(parse_address(at), app) for at, app in apps]
--- a/damasklanding/node/presence.py
+++ b/damasklanding/node/presence.py
@@ -122,7 +122,11 @@
         )
 
     def record_departure(self, instance, started_at_ms=0):
-        """Note that a start of the backend server takes no new work."""
+        """
+        Note that a start of the backend server takes no new work.
+
+        :return: whether it is the latest start.
+        """
         latest = self._latest
         if (
             latest is None
@@ -134,7 +138,7 @@
                 f'a departure of {instance} started at {started_at_ms} is '
                 f'ignored: the latest report is {_title(latest)}',
             )
-            return
+            return False
         _require_past(started_at_ms)
         self._left = True
         self._log_state('leaving', latest, f'a departure of {instance}')
@@ -147,6 +151,7 @@
                 started_at_ms=latest.started_at_ms,
             )
         )
+        return True
 
     def _log_state(self, state, report, cause):
         """Log the state of a start, and what said so, if it is new."""
--- a/damasklanding/node/watch.py
+++ b/damasklanding/node/watch.py
@@ -136,6 +136,11 @@
         if not known.is_set():
             known.wait(timeout_ms / 1000)
 
+    def knows_service(self, service):
+        """Return whether a service's backend servers are known."""
+        known = self._services.get(service)
+        return self._all_services or (known is not None and known.is_set())
+
     def _run(self):
         while True:
             for address in self.sources.ordered():
--- a/damasklanding/platform/announcements.py
+++ b/damasklanding/platform/announcements.py
@@ -78,20 +78,24 @@
 _leave_decoder = msgspec.json.Decoder(LeaveDocument)
 
 
-def announcement_app(presence):
+def announcement_app(presence, emptied_services=list):
     """
     Return a WSGI application that takes announcements and departures.
 
     :param presence: :class:`~damasklanding.node.presence.BackendPresence`.
+    :param emptied_services: returns the services that have no usable backend
+        server without the local one.
     """
 
     def put(instance, data):
-        presence.handle_report(_report(instance, data))
+        report = _report(instance, data)
+        presence.handle_report(report)
+        return not report.in_service
 
     def delete(instance, data):
         # Without a body the path alone identifies the instance that leaves.
         born = _decode(_leave_decoder, data).born if data else 0
-        presence.record_departure(instance, born)
+        return presence.record_departure(instance, born)
 
     actions = {'PUT': put, 'DELETE': delete}
 
@@ -104,7 +108,10 @@
         else:
             data = environ['wsgi.input'].read(MAX_BODY_BYTES)
             try:
-                action(_parse_instance(path[len(PREFIX) :]), data)
+                is_leave = action(_parse_instance(path[len(PREFIX) :]), data)
+                emptied = emptied_services() if is_leave else []
+                if emptied:
+                    body = msgspec.json.encode({'emptiedServices': emptied})
             except DamasklandingError as error:
                 status = f'{error.http_status} Refused'
                 body = msgspec.json.encode(
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -277,6 +277,10 @@
         return self.call(self.nodes[number], READY_PORT, 'GET', '/readyz')[0]
 
     def announce(self, number, state='ready'):
+        return self.send_announcement(number, state)[0]
+
+    def send_announcement(self, number, state):
+        """Return the status and the body of the answer."""
         self.sequence += 1
         ip = self.nodes[number]
         body = {
@@ -291,7 +295,8 @@
         }
         instance = self.backends[number].instance
         path = f'/instances/{instance}'
-        return self.call(ip, ANNOUNCE_PORT, 'PUT', path, body)[0]
+        status, _, answer = self.call(ip, ANNOUNCE_PORT, 'PUT', path, body)
+        return status, answer
 
     def announce_often(self, period_s=0.3):
         """Announce each backend server that is up, until killed."""
--- a/tests/test_viewlog.py
+++ b/tests/test_viewlog.py
@@ -1,6 +1,7 @@
 """Lines about changes of the configuration that a process holds."""
 
 from functools import partial
+import json
 
 import gevent
 from platform_fleet import document
@@ -204,7 +205,8 @@
     text = 'service ledger has a backend server again'
     eventually(lambda: by_followers(text), 5)
     fleet.backends[1].stop()
-    assert fleet.announce(1, 'draining') == 200
+    status, body = fleet.send_announcement(1, 'draining')
+    assert (status, json.loads(body)) == (200, {'emptiedServices': ['ledger']})
     text = 'backend server n1 of ledger'
     eventually(lambda: by_followers(text, 'is draining'), 5)
     assert 'backend server is draining: report' in fleet.log_of(ledger)
