--- a/review/standin2/fleet.py
+++ b/review/standin2/fleet.py
@@ -434,6 +434,7 @@
     def send(self, ip, attempt, path, method='GET', body=None, **options):
         """Send one request as a client of a host."""
         deadline_ms = options.pop('deadline_ms', 4000)
+        timeout_s = options.pop('timeout_s', deadline_ms / 1000)
         headers = {
             'Host': HOST,
             'Damasklanding-Attempt-Id': attempt,
@@ -446,7 +447,7 @@
             path,
             body,
             headers,
-            deadline_ms / 1000,
+            timeout_s,
         )
 
 
