--- a/review/standin2/fleet.py
+++ b/review/standin2/fleet.py
@@ -188,6 +188,10 @@
                 with contextlib.suppress(OSError):
                     sock.shutdown(socket.SHUT_RDWR)
 
+    def warmup_ms(self):
+        """Return for how much longer it is cold."""
+        return 0
+
     def ping_body(self):
         """Return the body of the next ping."""
         self.sequence += 1
@@ -204,7 +208,7 @@
                 'status': {
                     'state': self.state,
                     'sequence': self.sequence,
-                    'warmupLeft': '0ms',
+                    'warmupLeft': f'{self.warmup_ms()}ms',
                 },
             }
         )
