--- a/review/standin2/fleet.py
+++ b/review/standin2/fleet.py
@@ -416,7 +416,8 @@
         """Send an order to the control hosts until one answers."""
         for _ in range(40):
             for ip in self.control:
-                if self.processes[ip].poll() is not None:
+                process = self.processes.get(ip)
+                if process is None or process.poll() is not None:
                     continue
                 status, _, answer = call(
                     (ip, self.announce),
