--- a/review/standin2/fleet.py
+++ b/review/standin2/fleet.py
@@ -12,6 +12,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -404,13 +405,14 @@
             self.run(ip)
 
     def stop(self):
-        """End all processes."""
+        """End all processes and remove their folder."""
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def operator(self, method, path, body=None, timeout_s=3.0):
         """Send an order to the control hosts until one answers."""
