Replace lost control hosts one for one, so that losses are borne again

Cause: `lost_member` took an even number of voters for "a successor has come". With two lost, the second successor became a voter before the first lost host was removed: 7 voters, odd, so none was removed any more and the quorum was 4 of 7, two of them gone.

Change: a learner becomes a voter in the place of the voter that has been silent for longest, in one change of members, so the quorum never grows beside a lost voter. A host that returns waits as a learner. Lost learners are forgotten in place of lost voters. The losses borne and wanted are gauges, in `status`, and a line.

Why it works: at each step the group has the wanted number of voters, a lost one counts until a caught-up one takes its place, and each exchange needs a quorum before and after.

Ruled out: removing first (two steps in which one loss ends the group, and fewer disks hold the log), adding first (the fault), parity with a count of learners (says nothing of how many have come, as operators change sizes).

--- a/damasklanding/commands/fleet.py
+++ b/damasklanding/commands/fleet.py
@@ -20,7 +20,7 @@
 __all__ = ['FLEET_COMMANDS']
 
 _HOST_HEADINGS = ['ADDRESS', 'NAME', 'ROLE', 'LEADER', 'TERM', 'REVISION']
-_HOST_HEADINGS += ['AGE_MS', 'PROBLEM']
+_HOST_HEADINGS += ['AGE_MS', 'BEARS', 'PROBLEM']
 _NODE_HEADINGS = ['NODE', 'SERVICE', 'DATA_CENTRE', 'STATE', 'LIMIT']
 _NODE_HEADINGS += ['RUNNING', 'QUEUED', 'SERVICE_MS', 'WAIT_MS', 'SHED_BELOW']
 
@@ -28,7 +28,12 @@
 
 
 class HostLine(msgspec.Struct):
-    """Status of one control host."""
+    """
+    Status of one control host.
+
+    :ivar bears: on the leader, how many losses of control hosts the group
+        bears now, of how many it should bear.
+    """
 
     address: str
     name: str = ''
@@ -37,6 +42,7 @@
     term: int | None = None
     revision: int | None = None
     age_ms: int | None = None
+    bears: str = ''
     problem: str = ''
 
 
@@ -113,9 +119,16 @@
         group.get('term'),
         body['revision'],
         body['age_ms'],
+        _bears(group),
     )
 
 
+def _bears(group):
+    if group.get('losses_borne') is None:
+        return ''
+    return f'{group["losses_borne"]} of {group["losses_wanted"]}'
+
+
 def _latest_load(bodies, name):
     known = [body['loads'][name] for body in bodies if name in body['loads']]
     return min(known, key=lambda load: load['age_ms'], default=None)
--- a/damasklanding/commands/resources.py
+++ b/damasklanding/commands/resources.py
@@ -196,6 +196,19 @@
         _CONTROL_HOST_FLAGS,
         example='control-host replace c3 --peer-address 127.0.0.9:7500',
     ),
+    ResourceKind(
+        'control-group',
+        'control-groups',
+        (
+            ('NAME', 'name'),
+            ('VOTERS', 'voters'),
+            ('FOUNDERS', 'founders'),
+            ('REVISION', 'revision'),
+        ),
+        (_flag('voters', int, 'How many control hosts vote; an odd number.'),),
+        deletable=False,
+        example='control-group put control --voters 5',
+    ),
 )
 
 #: Actions that may take the last usable backend servers of a service.
--- a/damasklanding/control/admin.py
+++ b/damasklanding/control/admin.py
@@ -33,6 +33,7 @@
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import GrantKey
 from damasklanding.fleet.commands import HoldBackend
+from damasklanding.fleet.commands import PutControlGroup
 from damasklanding.fleet.commands import PutControlHost
 from damasklanding.fleet.commands import PutOrganisation
 from damasklanding.fleet.commands import PutProfile
@@ -67,6 +68,7 @@
     'data-centres': 'data_centre',
     'backends': 'backend',
     'control-hosts': 'control_host',
+    'control-groups': 'control_group',
 }
 
 _PUT_COMMANDS = {
@@ -74,6 +76,9 @@
     'service': lambda item: PutService(service=item),
     'organisation': lambda item: PutOrganisation(organisation=item),
     'control_host': lambda item: PutControlHost(control_host=item),
+    'control_group': lambda item: PutControlGroup(
+        name=item.name, voters=item.voters
+    ),
     'data_centre': lambda item: SetDataCentre(
         name=item.name, out=item.out, region=item.region
     ),
--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -37,6 +37,7 @@
 from damasklanding.fleet.commands import Envelope
 from damasklanding.fleet.commands import Outcome
 from damasklanding.fleet.commands import PutControlHost
+from damasklanding.fleet.controlhosts import wanted_voters
 from damasklanding.fleet.handlers import target_resource
 from damasklanding.fleet.resources import ControlHost as ControlHostResource
 from damasklanding.logs import StateLog
@@ -54,6 +55,8 @@
 JOIN_RETRY_MS = 250
 JOIN_TIMEOUT_MS = 1_500
 SILENT_LINK_TIMEOUT_MS = 600
+#: An election without a leader takes less than this.
+HAND_OVER_TIMEOUT_MS = 2_000
 #: An accepted configuration must be readable on every host within 2 s, so
 #: this limit is below that.
 READ_FRESH_LIMIT_MS = 1_500
@@ -66,7 +69,13 @@
 
 
 class GroupStatus(msgspec.Struct, frozen=True):
-    """Status of one replica, with the group members that it knows."""
+    """
+    Status of one replica, with the group members that it knows.
+
+    :ivar losses_borne: how many more voters may be lost before the group
+        stops; None on a replica that does not lead.
+    :ivar losses_wanted: how many it should bear.
+    """
 
     group: str
     role: str
@@ -78,6 +87,8 @@
     snapshot_index: int
     confirmed_age_ms: float | None
     members: tuple[Member, ...]
+    losses_borne: int | None = None
+    losses_wanted: int | None = None
 
 
 class HostStatus(msgspec.Struct, frozen=True):
@@ -147,6 +158,7 @@
             lambda: self._state_machine.deleted('control_host'),
             settings.name,
             self._propose_command if settings.seed_hosts else None,
+            metrics,
         )
 
     def add_group(self, name, state_machine):
@@ -173,6 +185,7 @@
             now_ms=self.now_ms,
             timing=self._timing,
             metrics=self._metrics,
+            wanted_voters=self._wanted_voters,
         )
         self._replicas[name] = replica
         return replica
@@ -197,7 +210,13 @@
         self._greenlet = gevent.spawn(self._run)
 
     def stop(self):
-        """Hand over leadership, leave the groups and unlock the folder."""
+        """Hand over places and leadership, leave the groups and unlock."""
+        gevent.joinall(
+            [
+                gevent.spawn(replica.hand_over_place, HAND_OVER_TIMEOUT_MS)
+                for replica in self._replicas.values()
+            ]
+        )
         if self._greenlet is not None:
             self._greenlet.kill()
         self._stalls.stop()
@@ -283,6 +302,11 @@
             tuple(map(_group_status, self._replicas.values())),
         )
 
+    def _wanted_voters(self):
+        if not self.settings.seed_hosts:
+            return None
+        return wanted_voters(self.view.state)
+
     def _require_no_stall(self):
         if self._stalls.may_read_old_input():
             raise Unavailable(
@@ -347,7 +371,9 @@
         envelope = Envelope(
             request_id='',
             operator='',
-            command=PutControlHost(control_host=host),
+            command=PutControlHost(
+                control_host=host, is_founder=settings.bootstrap
+            ),
         )
         if self.settings.seed_hosts:
             self._keep_announced(host, envelope)
@@ -446,4 +472,5 @@
         replica.journal.snapshot.index,
         age_ms if age_ms < float('inf') else None,
         replica.membership.current,
+        *replica.losses(),
     )
--- a/damasklanding/control/member_changes.py
+++ b/damasklanding/control/member_changes.py
@@ -7,10 +7,13 @@
 committed.
 """
 
-from damasklanding.control.members import Member
+import msgspec
+
 from damasklanding.control.members import changed_members
 from damasklanding.control.members import encode_members
 from damasklanding.control.members import quorum_reached
+from damasklanding.control.voters import admit_learner
+from damasklanding.control.voters import hand_over_place
 from damasklanding.errors import BadInput
 from damasklanding.errors import Conflict
 
@@ -31,7 +34,12 @@
         alive now would not form a quorum.
     """
     current = leadership.replica.membership.current
-    members = changed_members(current, change)
+    if change.action == 'hand-over':
+        members = hand_over_place(
+            current, change.name, leadership.caught_up_learners()
+        )
+    else:
+        members = changed_members(current, change)
     if members == current:
         return members
     if not _may_start_change(leadership):
@@ -39,7 +47,7 @@
             'another change of members is under way',
             'wait until it is complete and send this again',
         )
-    if not quorum_reached(
+    if change.action != 'hand-over' and not quorum_reached(
         members, lambda m: m in current and leadership.is_alive(m)
     ):
         raise BadInput(
@@ -64,7 +72,8 @@
     """
     Record the incarnation of a peer that has a new data folder.
 
-    This is done once the peer has caught up with the committed entries.
+    This is done once the peer has caught up with the committed entries.  A
+    learner becomes a voter with it, as soon as there is a place for it.
     """
     replica = leadership.replica
     member = replica.membership.get(peer.name)
@@ -73,17 +82,24 @@
     caught_up = peer.match_index >= replica.commit_index
     if not caught_up or not _may_start_change(leadership):
         return
-    updated = Member(
-        member.name,
-        member.address,
-        peer.incarnation,
-        member.voter or not member.incarnation,
-    )
-    members = tuple(
-        updated if known is member else known
-        for known in replica.membership.current
-    )
-    leadership.append('members', encode_members(members))
+    current = replica.membership.current
+    if member.voter:
+        members = _with_incarnation(current, member, peer.incarnation)
+    else:
+        members = admit_learner(
+            current,
+            member.name,
+            peer.incarnation,
+            replica.wanted_voters(),
+            leadership.silent_voters(),
+        )
+    if members != current:
+        leadership.append('members', encode_members(members))
+
+
+def _with_incarnation(members, member, incarnation):
+    updated = msgspec.structs.replace(member, incarnation=incarnation)
+    return tuple(updated if known is member else known for known in members)
 
 
 def _may_start_change(leadership):
--- a/damasklanding/control/members.py
+++ b/damasklanding/control/members.py
@@ -19,9 +19,11 @@
     'changed_members',
     'decode_change',
     'decode_members',
+    'demoted',
     'encode_change',
     'encode_members',
     'quorum_reached',
+    'quorum_size',
     'quorum_value',
 ]
 
@@ -49,10 +51,12 @@
     """
     An operator's change of a group's members.
 
-    :ivar action: ``add`` adds a learner that becomes a voter once it has
-        caught up, ``move`` changes the address and ``remove`` removes.
+    :ivar action: ``add`` adds a learner, ``move`` changes the address,
+        ``demote`` makes a voter a learner, ``remove`` removes and
+        ``hand-over`` makes a waiting learner a voter in the place of one that
+        stops.
     :ivar name: name of the host.
-    :ivar address: new address of the host, empty for ``remove``.
+    :ivar address: new address of the host, for ``add`` and ``move`` only.
     """
 
     action: str
@@ -127,14 +131,37 @@
 
 def _remove(members, change):
     others = tuple(m for m in members if m.name != change.name)
-    if not any(member.voter for member in others):
+    _require_voter(others, change)
+    return others
+
+
+def _demote(members, change):
+    changed = tuple(
+        demoted(member) if member.name == change.name else member
+        for member in members
+    )
+    _require_voter(changed, change)
+    return changed
+
+
+def _require_voter(members, change):
+    if not any(member.voter for member in members):
         raise BadInput(
             f'{change.name} is the last voter', 'add another host first'
         )
-    return others
 
 
-_CHANGE_FUNCTIONS = {'add': _add, 'move': _move, 'remove': _remove}
+def demoted(member):
+    """Return a member as a learner, whose data folder no longer counts."""
+    return msgspec.structs.replace(member, incarnation='', voter=False)
+
+
+_CHANGE_FUNCTIONS = {
+    'add': _add,
+    'demote': _demote,
+    'move': _move,
+    'remove': _remove,
+}
 
 
 def quorum_value(members, value_of):
@@ -148,10 +175,15 @@
     return reached[(len(reached) - 1) // 2]
 
 
+def quorum_size(members):
+    """Return the number of voters that make a quorum."""
+    return sum(member.voter for member in members) // 2 + 1
+
+
 def quorum_reached(members, satisfies):
     """Return whether a quorum of the voters satisfies a predicate."""
     voters = [member for member in members if member.voter]
-    return sum(map(satisfies, voters)) > len(voters) // 2
+    return sum(map(satisfies, voters)) >= quorum_size(members)
 
 
 class Membership:
--- a/damasklanding/control/reconcile.py
+++ b/damasklanding/control/reconcile.py
@@ -3,23 +3,26 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Reconciles the members of the replication groups with the control hosts that
-operators have put and deleted.  It makes one change at a time.
+operators have put and deleted, and reports how many losses the groups bear.
+It makes one change at a time.
 """
 
 import gevent
+from loguru import logger
 
 from damasklanding.control.members import MemberChange
 from damasklanding.control.members import encode_change
+from damasklanding.control.voters import surplus_voter
 from damasklanding.errors import DamasklandingError
 from damasklanding.fleet.commands import DeleteResource
+from damasklanding.fleet.controlhosts import set_voters
 
-__all__ = ['MemberReconciler', 'lost_member', 'next_change']
+__all__ = ['MemberReconciler', 'lost_learner', 'next_change']
 
 PERIOD_MS = 500
 FRESH_LIMIT_MS = 3_000
 PROPOSE_TIMEOUT_MS = 2_000
-#: A restart takes less than this.  A host that replaces another must become a
-#: voter within 4 s, so this must be shorter than that.
+#: A restart takes less than this.
 LOST_AFTER_MS = 2_500
 
 
@@ -44,25 +47,22 @@
     return None
 
 
-def lost_member(members, silent_ms, own_name):
+def lost_learner(memberships, silent_ms):
     """
-    Return the name of the voter to remove as lost, None if there is none.
+    Return the name of a silent learner, None if there is none.
 
-    A group with an even number of voters tolerates no more failures than
-    with one voter less.  A silent voter can then be removed: a new host has
-    taken its place.
+    A host that votes in one group is not lost for the others.
 
-    :param members: tuple of the group's members.
-    :param silent_ms: function that returns the time since a member last
-        answered.
+    :param memberships: members of each group, those of the group in question
+        first.
+    :param silent_ms: function that returns the time since a member of that
+        group last answered.
     """
-    voters = [member for member in members if member.voter]
-    if len(voters) % 2 or len(voters) != len(members):
-        return None
+    voters = {m.name for members in memberships for m in members if m.voter}
     silent = [
         member
-        for member in voters
-        if member.name != own_name and silent_ms(member) > LOST_AFTER_MS
+        for member in memberships[0]
+        if member.name not in voters and silent_ms(member) > LOST_AFTER_MS
     ]
     if not silent:
         return None
@@ -76,7 +76,9 @@
     It runs on every control host.
     """
 
-    def __init__(self, replicas, view, removed, name='', propose=None):
+    def __init__(
+        self, replicas, view, removed, name='', propose=None, metrics=None
+    ):
         """
         Create a reconciler; :meth:`start` starts it.
 
@@ -86,7 +88,10 @@
         :param name: name of this control host.
         :param propose: function that proposes a command, used to remove lost
             hosts without an operator; None if only operators remove hosts.
+        :param metrics: gauges of the losses that a group bears.
         """
+        self._metrics = metrics
+        self._logged_losses = {}
         self._name = name
         self._propose = propose
         self._replicas = replicas
@@ -107,20 +112,54 @@
     def _run(self):
         while True:
             gevent.sleep(PERIOD_MS / 1000)
+            for replica in self._replicas.values():
+                self._report_losses(replica)
             if self._view.age_ms() > FRESH_LIMIT_MS:
                 continue
             for replica in self._replicas.values():
-                self._reconcile(replica)
-                self._remove_lost(replica)
+                if replica.leadership is not None:
+                    self._reconcile(replica)
+                    self._forget_lost(replica)
+
+    def _report_losses(self, replica):
+        group = replica.group
+        borne, wanted = replica.losses()
+        if self._metrics is not None:
+            _set_or_unset(self._metrics, 'control_losses_borne', borne, group)
+            _set_or_unset(
+                self._metrics, 'control_losses_wanted', wanted, group
+            )
+        leadership = replica.leadership
+        if leadership is None or leadership.age_ms() < LOST_AFTER_MS:
+            return
+        is_short = borne < wanted
+        known = self._logged_losses.get(group, (wanted, wanted))
+        if known == (borne, wanted):
+            return
+        self._logged_losses[group] = (borne, wanted)
+        logger.log(
+            'WARNING' if is_short else 'INFO',
+            '{} bears the loss of {} more control hosts and should bear {}; '
+            'silent: {}',
+            group,
+            borne,
+            wanted,
+            ', '.join(leadership.silent_voters()) or 'none',
+        )
 
-    def _remove_lost(self, replica):
+    def _forget_lost(self, replica):
         leadership = replica.leadership
         if leadership is None or self._propose is None:
             return
-        name = lost_member(
-            replica.membership.current, leadership.silent_ms, self._name
+        others = [
+            other.membership.current
+            for other in self._replicas.values()
+            if other is not replica
+        ]
+        name = lost_learner(
+            [replica.membership.current, *others], leadership.silent_ms
         )
-        if name is None:
+        if name is None or self._view.state.get('control_host', name) is None:
             return
         try:
             self._propose(DeleteResource(kind='control_host', name=name))
@@ -129,16 +168,26 @@
                 replica.group, MemberChange('remove', name), f'failed: {error}'
             )
 
-    def _reconcile(self, replica):
-        if replica.leadership is None:
-            return
+    def _next_change(self, replica):
+        state = self._view.state
         addresses = {
             host.name: host.peer_address
-            for host in self._view.state.all('control_host').values()
+            for host in state.all('control_host').values()
         }
-        change = next_change(
-            replica.membership.current, addresses, self._removed()
+        members = replica.membership.current
+        change = next_change(members, addresses, self._removed())
+        if change is not None or replica.wanted_voters() is None:
+            return change
+        name = surplus_voter(
+            members,
+            set_voters(state),
+            replica.leadership.silent_voters(),
+            self._name,
         )
+        return MemberChange('demote', name) if name else None
+
+    def _reconcile(self, replica):
+        change = self._next_change(replica)
         if change is None:
             return
         problem = ''
@@ -153,9 +202,14 @@
             _log_change(replica.group, change, problem or 'done')
 
 
-def _log_change(group, change, result):
-    from loguru import logger
+def _set_or_unset(metrics, name, value, group):
+    if value is None:
+        metrics.unset(name, group)
+    else:
+        metrics.set(name, value, group)
+
 
+def _log_change(group, change, result):
     logger.info(
         '{} {} {} {}: {}',
         group,
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -20,9 +20,11 @@
 from damasklanding.control.journal import Vote
 from damasklanding.control.member_changes import append_commit_marker
 from damasklanding.control.member_changes import members_after_change
+from damasklanding.control.members import MemberChange
 from damasklanding.control.members import Membership
 from damasklanding.control.members import decode_change
 from damasklanding.control.members import decode_members
+from damasklanding.control.members import encode_change
 from damasklanding.control.members import encode_members
 from damasklanding.control.orders import always_awaited
 from damasklanding.control.orders import require_awaited
@@ -32,6 +34,7 @@
 from damasklanding.control.timing import Timing
 from damasklanding.errors import BadInput
 from damasklanding.errors import CorruptStore
+from damasklanding.errors import DamasklandingError
 from damasklanding.errors import LinkTimeout
 from damasklanding.errors import NotLeader
 from damasklanding.errors import TooLarge
@@ -85,6 +88,7 @@
         random=None,
         timing=None,
         metrics=None,
+        wanted_voters=lambda: None,
     ):
         """
         Restore the state machine from the journal's snapshot.
@@ -93,8 +97,12 @@
             ``snapshot()`` and ``restore(state)``.
         :param send: function of host name, message and timeout in
             milliseconds that returns the reply.
+        :param wanted_voters: function that returns the number of voters that
+            the group should have, 0 while it is unknown, None if only
+            operators decide who votes.
         """
         self.name = name
+        self.wanted_voters = wanted_voters
         self.group = group
         self.journal = journal
         self.state_machine = state_machine
@@ -174,6 +182,22 @@
         self.step_down('stopped')
         gevent.killall(self._greenlets)
 
+    def hand_over_place(self, timeout_ms):
+        """
+        Let a waiting learner vote in the place of this replica.
+
+        :return: whether none waits any more, or none did.
+        """
+        change = encode_change(MemberChange('hand-over', self.name))
+        deadline_ms = self.now_ms() + timeout_ms
+        while self._has_waiting_learner() and self.now_ms() < deadline_ms:
+            try:
+                self.propose(change, deadline_ms - self.now_ms(), 'members')
+                return True
+            except DamasklandingError:
+                gevent.sleep(LEADER_POLL_MS / 1000)
+        return not self._has_waiting_learner()
+
     def handlers(self):
         """Return the handlers of this group's messages by message class."""
         return self._handlers
@@ -255,6 +279,19 @@
             '',
         )
 
+    def losses(self):
+        """
+        Return how many losses of voters the group bears and should bear.
+
+        :return: pair of numbers, of None on a replica that does not lead.
+        """
+        leadership = self.leadership
+        if leadership is None:
+            return None, None
+        voters = sum(member.voter for member in self.membership.current)
+        wanted = self.wanted_voters() or voters
+        return leadership.losses_borne(), (wanted - 1) // 2
+
     def wait_applied(self, index, timeout_ms):
         """Wait for an entry; return whether it was applied here in time."""
         return self.applier.wait(index, timeout_ms)
@@ -457,6 +494,14 @@
                 entry.index, int(entry.payload)
             )
 
+    def _has_waiting_learner(self):
+        return (
+            self._running
+            and self.wanted_voters() is not None
+            and self.is_voter()
+            and not all(member.voter for member in self.membership.current)
+        )
+
     def _forward(self, kind, payload, timeout_ms):
         message = Propose(self.group, payload, True, kind)
         limit_ms = min(timeout_ms, self.timing.request_timeout_ms)
--- a/damasklanding/control/replication.py
+++ b/damasklanding/control/replication.py
@@ -15,6 +15,7 @@
 from damasklanding.control.members import encode_members
 from damasklanding.control.members import quorum_value
 from damasklanding.control.snapshots import send_snapshot
+from damasklanding.control.voters import losses_borne
 from damasklanding.errors import DamasklandingError
 from damasklanding.messages import AppendRequest
 
@@ -41,10 +42,12 @@
         answered in this term.
     :ivar work_available: set when there are entries or a commit index to
         send.
+    :ivar added_ms: when the replication to the peer began.
     """
 
-    def __init__(self, name, next_index):
+    def __init__(self, name, next_index, added_ms):
         self.name = name
+        self.added_ms = added_ms
         self.next_index = next_index
         self.match_index = 0
         self.acknowledged_commit_index = 0
@@ -95,6 +98,10 @@
         if self._sync_greenlet is not gevent.getcurrent():
             self._sync_greenlet.kill(block=False)
 
+    def age_ms(self):
+        """Return for how long this replica has led."""
+        return self.replica.now_ms() - self.started_ms
+
     def is_over(self):
         """Return whether this term of leadership has ended."""
         return self.replica.leadership is not self
@@ -189,11 +196,56 @@
         peer = self.peers.get(member.name)
         if peer is None:
             return 0.0
-        last_contact_ms = max(peer.acknowledged_ms, self.started_ms)
+        last_contact_ms = max(peer.acknowledged_ms, peer.added_ms)
         return self.replica.now_ms() - last_contact_ms
 
+    def silent_voters(self):
+        """
+        Return the names of the voters that count as lost.
+
+        None does while the quorum's latest answer is old as well: this
+        process may have stood still.
+
+        :return: list of names, the longest silent first.
+        """
+        limit_ms = self.replica.timing.lost_after_ms
+        if self.replica.now_ms() - self.confirmed_ms() > limit_ms / 2:
+            return []
+        silent_ms = {
+            member.name: self.silent_ms(member)
+            for member in self.replica.membership.current
+            if member.voter and member.name != self.replica.name
+        }
+        silent = [name for name in silent_ms if silent_ms[name] > limit_ms]
+        return sorted(silent, key=lambda name: (-silent_ms[name], name))
+
+    def caught_up_learners(self):
+        """Return pairs of name and incarnation of the learners to admit."""
+        peers = [
+            self.peers[member.name]
+            for member in self.replica.membership.current
+            if not member.voter and member.name in self.peers
+        ]
+        limit_ms = self.replica.now_ms() - self.replica.timing.lost_after_ms
+        return [
+            (peer.name, peer.incarnation)
+            for peer in peers
+            if peer.incarnation
+            and peer.match_index >= self.replica.commit_index
+            and peer.acknowledged_ms > limit_ms
+        ]
+
+    def losses_borne(self):
+        """Return how many more voters may be lost; see ``voters``."""
+        limit_ms = self.replica.timing.lost_after_ms
+        now_ms = self.replica.now_ms()
+        return losses_borne(
+            self.replica.membership.active_member_sets(),
+            lambda member: now_ms - self._acknowledged_ms(member) <= limit_ms,
+        )
+
     def _add_peer(self, name):
-        peer = Progress(name, self.first_index)
+        peer = Progress(name, self.first_index, self.replica.now_ms())
         self.peers[name] = peer
         peer.work_available.set()
         peer.greenlets = [
--- a/damasklanding/control/timing.py
+++ b/damasklanding/control/timing.py
@@ -20,6 +20,8 @@
         long after the last contact from a leader.
     :ivar election_max_ms: maximum election timeout.  A leader that no quorum
         answers for so long steps down.
+    :ivar lost_after_ms: silence after which a caught-up learner takes the
+        place of a voter.
     :ivar request_timeout_ms: timeout of a request with log entries or with a
         forwarded proposal.
     :ivar snapshot_timeout_ms: timeout of one chunk of a snapshot.
@@ -32,6 +34,7 @@
     heartbeat_ms: int = 100
     election_min_ms: int = 400
     election_max_ms: int = 800
+    lost_after_ms: int = 1_000
     request_timeout_ms: int = 1_000
     snapshot_timeout_ms: int = 5_000
     snapshot_entries: int = 4_096
--- a/damasklanding/documents.py
+++ b/damasklanding/documents.py
@@ -14,6 +14,7 @@
 
 from damasklanding.errors import BadInput
 from damasklanding.errors import TooLarge
+from damasklanding.fleet.resources import ControlGroup
 from damasklanding.fleet.resources import ControlHost
 from damasklanding.fleet.resources import DataCentre
 from damasklanding.fleet.resources import Key
@@ -85,6 +86,12 @@
     """Body of a control host."""
 
 
+class ControlGroupDocument(
+    ControlGroup, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Body of the control group; only the number of voters is written."""
+
+
 #: Model of the body by kind of resource.
 DOCUMENTS = {
     'profile': ProfileDocument,
@@ -92,6 +99,7 @@
     'organisation': OrganisationDocument,
     'data_centre': DataCentreDocument,
     'control_host': ControlHostDocument,
+    'control_group': ControlGroupDocument,
 }
 
 _REPLICATED = {
@@ -100,6 +108,7 @@
     'organisation': Organisation,
     'data_centre': DataCentre,
     'control_host': ControlHost,
+    'control_group': ControlGroup,
 }
 
 
--- a/damasklanding/fleet/commands.py
+++ b/damasklanding/fleet/commands.py
@@ -27,6 +27,7 @@
     'GrantKey',
     'HoldBackend',
     'Outcome',
+    'PutControlGroup',
     'PutControlHost',
     'PutOrganisation',
     'PutProfile',
@@ -109,9 +110,21 @@
 
 
 class PutControlHost(Command, frozen=True, kw_only=True, tag=True):
-    """Write the addresses of a control host."""
+    """
+    Write the addresses of a control host.
+
+    :ivar is_founder: whether the host was started to found the fleet.
+    """
 
     control_host: ControlHost
+    is_founder: bool = False
+
+
+class PutControlGroup(Command, frozen=True, kw_only=True, tag=True):
+    """Set how many control hosts vote."""
+
+    name: str
+    voters: int
 
 
 class ApplyConfiguration(Command, frozen=True, kw_only=True, tag=True):
@@ -152,6 +165,7 @@
     | RegisterBackend
     | ExpireBackends
     | PutControlHost
+    | PutControlGroup
     | DeleteResource
     | ApplyConfiguration
 )
--- a/damasklanding/fleet/handlers.py
+++ b/damasklanding/fleet/handlers.py
@@ -14,6 +14,7 @@
 from damasklanding.fleet.commands import ExpireBackends
 from damasklanding.fleet.commands import GrantKey
 from damasklanding.fleet.commands import HoldBackend
+from damasklanding.fleet.commands import PutControlGroup
 from damasklanding.fleet.commands import PutControlHost
 from damasklanding.fleet.commands import PutOrganisation
 from damasklanding.fleet.commands import PutProfile
@@ -24,6 +25,7 @@
 from damasklanding.fleet.configurations import CONFIGURATION_NAME
 from damasklanding.fleet.configurations import apply_configuration
 from damasklanding.fleet.controlhosts import delete_control_host
+from damasklanding.fleet.controlhosts import put_control_group
 from damasklanding.fleet.controlhosts import put_control_host
 from damasklanding.fleet.datacentres import delete_data_centre
 from damasklanding.fleet.datacentres import set_data_centre
@@ -75,6 +77,7 @@
         put_control_host,
         lambda c: ('control_host', c.control_host.name),
     ),
+    PutControlGroup: (put_control_group, lambda c: ('control_group', c.name)),
     ApplyConfiguration: (
         apply_configuration,
         lambda c: ('configuration', CONFIGURATION_NAME),
--- a/damasklanding/fleet/resources.py
+++ b/damasklanding/fleet/resources.py
@@ -17,6 +17,7 @@
     'BudgetShard',
     'Change',
     'Configuration',
+    'ControlGroup',
     'ControlHost',
     'DataCentre',
     'HostRoute',
@@ -252,6 +253,19 @@
     data_centre: str = ''
 
 
+class ControlGroup(Resource, frozen=True, kw_only=True):
+    """
+    How many control hosts vote.
+
+    :ivar founders: names of the control hosts that the fleet was founded
+        with.
+    :ivar voters: number that operators have set, 0 for that of the founders.
+    """
+
+    founders: tuple[Name, ...] = ()
+    voters: Annotated[int, Meta(ge=0, le=9)] = 0
+
+
 KINDS = {
     'profile': Profile,
     'service': Service,
@@ -260,6 +274,7 @@
     'backend': Backend,
     'budget_shard': BudgetShard,
     'control_host': ControlHost,
+    'control_group': ControlGroup,
     'host_route': HostRoute,
     'configuration': Configuration,
 }
--- a/damasklanding/metrics.py
+++ b/damasklanding/metrics.py
@@ -61,6 +61,14 @@
         'Services that have lost their last usable backend server',
         (),
     ),
+    'control_losses_borne': (
+        'Losses of control hosts that a group bears now, on its leader',
+        ('group',),
+    ),
+    'control_losses_wanted': (
+        'Losses of control hosts that a group should bear, on its leader',
+        ('group',),
+    ),
     'concurrency_limit': ('Adaptive concurrency limit', ('service',)),
     'concurrency_running': ('Calls running', ('service',)),
     'queue_length': ('Calls waiting for a slot', ('service',)),
@@ -109,6 +117,10 @@
         """Set a declared gauge."""
         self._gauges[name, labels] = value
 
+    def unset(self, name, *labels):
+        """Remove a gauge that this process no longer measures."""
+        self._gauges.pop((name, labels), None)
+
     def collect_with(self, collector):
         """Call a function before each rendering, to set gauges."""
         self._collectors.append(collector)
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -8,6 +8,7 @@
 from contextlib import contextmanager
 import os
 import shutil
+import socket
 
 import gevent
 import msgspec
@@ -22,6 +23,7 @@
 from damasklanding.linkpool import LinkPool
 from damasklanding.linkserver import LinkServer
 from damasklanding.settings import Settings
+from damasklanding.settings import seed_control_hosts
 
 SECRET = b'0123456789abcdef'
 #: Pause before a server stops, so that links whose handshake is under way are
@@ -74,23 +76,26 @@
     def folder_of(self, name):
         return os.path.join(self.folder, name)
 
-    def start(self, name, bootstrap=True):
-        server = self._servers.get(name)
-        if server is None:
-            server = self._listen(name, dict(self.addresses)[name])
-            self._servers[name] = server
-        if name not in dict(self.addresses):
-            self.addresses += ((name, server.address),)
-        settings = Settings(
+    def settings_of(self, name, address, bootstrap):
+        return Settings(
             name=name,
             roles=('control',),
             data_centre='kushiro',
-            peer_address=server.address,
+            peer_address=address,
             secret=SECRET,
             control_hosts=self.addresses,
             data_folder=self.folder_of(name),
             bootstrap=bootstrap,
         )
+
+    def start(self, name, bootstrap=True):
+        server = self._servers.get(name)
+        if server is None:
+            server = self._listen(name, dict(self.addresses)[name])
+            self._servers[name] = server
+        if name not in dict(self.addresses):
+            self.addresses += ((name, server.address),)
+        settings = self.settings_of(name, server.address, bootstrap)
         identity = Identity(name, 'control', os.urandom(4).hex())
         pool = LinkPool(identity, SECRET)
         host = ControlHost(settings, identity, pool, timing=self.timing)
@@ -121,6 +126,9 @@
 
     def wipe(self, name):
         self.kill(name)
+        self.remove_disk(name)
+
+    def remove_disk(self, name):
         shutil.rmtree(self.folder_of(name))
 
     def start_all(self):
@@ -161,6 +169,10 @@
                 return host
         return None
 
+    def has_leader(self):
+        """Return whether a host leads that a quorum answers."""
+        return self._leader() is not None
+
     def client(self, addresses=None, view=None):
         identity = Identity('test', 'tool', 'i')
         pool = LinkPool(identity, SECRET)
@@ -185,6 +197,64 @@
             server.stop()
 
 
+class SeededCluster(Cluster):
+    """
+    Control hosts that are named by their addresses and know three seeds.
+
+    Hosts announce themselves, and no operator adds or removes one.
+    """
+
+    SEEDS = 3
+
+    def __init__(self, folder, count, timing):
+        self._port = _free_port()
+        names = [self.name_of(n) for n in range(1, count + 1)]
+        super().__init__(folder, names, timing)
+        self._seeds = tuple(
+            f'{name}:{self._port}' for name in names[: self.SEEDS]
+        )
+
+    def name_of(self, number):
+        return f'127.0.3.{number}'
+
+    def _listen(self, name, address=''):
+        return super()._listen(name, f'{name}:{self._port}')
+
+    def settings_of(self, name, address, bootstrap):
+        settings = super().settings_of(name, address, bootstrap)
+        return msgspec.structs.replace(
+            settings,
+            seed_hosts=self._seeds,
+            control_hosts=seed_control_hosts(self._seeds, address),
+        )
+
+
+def _free_port():
+    with socket.socket() as probe:
+        probe.bind(('127.0.3.1', 0))
+        return probe.getsockname()[1]
+
+
+@contextmanager
+def seeded_cluster(folder, count, timing=FAST_TIMING):
+    """Start a fleet of control hosts that find each other by seeds."""
+    fleet = SeededCluster(str(folder), count, timing)
+    try:
+        fleet.start_all()
+        eventually(lambda: _all_vote(fleet, count))
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def _all_vote(fleet, count):
+    config = fleet.leader().config
+    voters = [member for member in config.membership.current if member.voter]
+    return len(voters) == count and config.membership.is_change_complete(
+        config.commit_index
+    )
+
+
 @contextmanager
 def cluster(folder, count=3, timing=FAST_TIMING):
     new_cluster = Cluster(
--- a/tests/fakes_admin.py
+++ b/tests/fakes_admin.py
@@ -8,6 +8,7 @@
 from damasklanding.errors import NotFound
 from damasklanding.fleet.commands import Outcome
 from damasklanding.fleet.resources import Change
+from damasklanding.fleet.resources import ControlGroup
 from damasklanding.fleet.resources import DataCentre
 from damasklanding.fleet.resources import Organisation
 from damasklanding.metrics import Metrics
@@ -103,6 +104,9 @@
                 command.organisation,
                 self._with_changed_keys(command),
             )
+        if op == 'PutControlGroup':
+            item = ControlGroup(name=command.name, voters=command.voters)
+            return 'control_group', command.name, item
         kind = op.removeprefix('Put').lower().replace('host', '_host')
         item = getattr(command, kind)
         known = self.view.state.get(kind, item.name)
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -7,6 +7,8 @@
 import pytest
 
 from damasklanding.cmdline import tool_group
+from damasklanding.control.host import GroupStatus
+from damasklanding.control.host import HostStatus
 from damasklanding.fleet.resources import Backend
 from damasklanding.fleet.resources import DataCentre
 from damasklanding.fleet.resources import Organisation
@@ -215,6 +217,26 @@
     assert f'control host at {CLOSED} did not answer' in result.stderr
 
 
+def test_number_of_voting_control_hosts_is_put_and_shown(fleet):
+    arguments = ('control-group', 'put', 'control', '--voters')
+    assert fleet.run(*arguments, '7').exit_code == 0
+    assert fleet.json('control-group', 'list')[0]['voters'] == 7
+    assert fleet.run(*arguments, '12').exit_code == 2
+    assert fleet.run('control-group', 'delete', 'control').exit_code == 2
+
+
+def test_status_shows_how_many_losses_the_control_hosts_bear(
+    fleet, monkeypatch
+):
+    group = GroupStatus(
+        'config', 'leader', 'c1', 3, 9, 9, 9, 0, 12.0, (), 1, 2
+    )
+    status = HostStatus('c1', 'kushiro', 'life-1', 9, (group,))
+    monkeypatch.setattr(fleet.host, 'status', lambda: status)
+    assert '1 of 2' in fleet.run('status').stdout
+    assert fleet.json('status')['control_hosts'][0]['bears'] == '1 of 2'
+
+
 def test_backends_and_data_centres(fleet):
     register(fleet, 'n1')
     fleet.run('data-centre', 'put', 'kushiro', '--region', 'doto')
--- /dev/null
+++ b/tests/test_replaced_hosts.py
@@ -0,0 +1,155 @@
+"""
+Control hosts that are replaced by empty ones, in fleets that find their
+hosts by seeds.
+"""
+
+from control_cluster import Timing
+from control_cluster import envelope
+from control_cluster import eventually
+from control_cluster import propose
+from control_cluster import seeded_cluster
+import gevent
+import pytest
+
+from damasklanding.errors import DamasklandingError
+from damasklanding.fleet.commands import PutControlGroup
+from damasklanding.fleet.commands import PutProfile
+from damasklanding.fleet.resources import Profile
+
+TIMING = Timing(heartbeat_ms=20, election_min_ms=120, election_max_ms=240)
+#: `catchUp` of the users' deployments: how long after the start of a successor
+#: the loss that it replaces still counts.
+CATCH_UP_S = 4.0
+
+
+def write(fleet, number):
+    """Write a profile; return whether it was confirmed."""
+    command = PutProfile(profile=Profile(name='desk', weight=number))
+    client = fleet.client()
+    try:
+        outcome = propose(client, envelope(command, f'write-{number}'), 2_000)
+    except DamasklandingError:
+        return False
+    return not outcome.error
+
+
+def weight(fleet):
+    profile = fleet.leader().view.state.get('profile', 'desk')
+    return profile.weight if profile else None
+
+
+def lose_disks_with_all_hosts_down(fleet, lost):
+    """Kill all hosts at once and start them again, some without disks."""
+    names = list(fleet.hosts)
+    for name in names:
+        fleet.kill(name)
+    for name in names:
+        if name in lost:
+            fleet.remove_disk(name)
+        fleet.start(name, bootstrap=False)
+
+
+@pytest.mark.parametrize(
+    'lost,apart_s', [((4, 5), 0.0), ((1, 2), 0.0), ((4, 5), 0.6)]
+)
+def test_two_hosts_replaced_at_once_leave_a_group_that_bears_two_more_losses(
+    tmp_path, lost, apart_s
+):
+    with seeded_cluster(tmp_path, 5, TIMING) as fleet:
+        assert write(fleet, 1)
+        for number in lost:
+            fleet.kill(fleet.name_of(number))
+            gevent.sleep(apart_s)
+        gevent.sleep(2.0 - apart_s)
+        for number in (6, 7):
+            fleet.add(fleet.name_of(number))
+            gevent.sleep(apart_s)
+        gevent.sleep(CATCH_UP_S)
+        assert write(fleet, 2)
+        kept = [name for name in fleet.hosts if name != fleet.name_of(7)]
+        lose_disks_with_all_hosts_down(fleet, kept[:2])
+        eventually(lambda: fleet.has_leader(), 8)
+        assert weight(fleet) == 2
+        eventually(lambda: write(fleet, 3), 8)
+
+
+def voters(fleet):
+    members = fleet.leader().config.membership.current
+    return {member.name for member in members if member.voter}
+
+
+def test_host_that_was_frozen_while_its_successor_came_waits_as_a_learner(
+    tmp_path,
+):
+    with seeded_cluster(tmp_path, 5, TIMING) as fleet:
+        leader = fleet.leader().settings.name
+        cut = next(name for name in fleet.hosts if name != leader)
+        fleet.isolate(cut)
+        gevent.sleep(1.0)
+        new = fleet.name_of(6)
+        fleet.add(new)
+        eventually(lambda: voters(fleet) == {*fleet.hosts} - {cut})
+        gevent.sleep(2.6)
+        fleet.rejoin(cut)
+
+        def waits():
+            members = fleet.leader().config.membership.current
+            return cut in {m.name for m in members if not m.voter}
+
+        eventually(waits)
+        fleet.kill(new)
+        eventually(lambda: voters(fleet) == set(fleet.hosts))
+        assert write(fleet, 1)
+
+
+def test_host_that_stops_hands_its_place_to_the_successor_that_waits(
+    tmp_path,
+):
+    with seeded_cluster(tmp_path, 5, TIMING) as fleet:
+        new = fleet.name_of(6)
+        fleet.add(new)
+        eventually(lambda: len(fleet.leader().config.membership.current) == 6)
+        gevent.sleep(0.3)
+        assert new not in voters(fleet)
+        old = fleet.leader().settings.name
+        fleet.stop(old)
+        assert voters(fleet) == set(fleet.hosts)
+        assert fleet.leader().config.losses() == (2, 2)
+
+
+def test_operators_set_how_many_hosts_vote(tmp_path):
+    with seeded_cluster(tmp_path, 5, TIMING) as fleet:
+        for number in (3, 5):
+            command = PutControlGroup(name='control', voters=number)
+            sent = envelope(command, f'voters-{number}')
+            assert not propose(fleet.client(), sent).error
+            eventually(lambda number=number: len(voters(fleet)) == number)
+            losses = (number - 1) // 2
+            eventually(
+                lambda losses=losses: (
+                    fleet.leader().config.losses() == (losses, losses)
+                )
+            )
+        for name, number in (('control', 4), ('claims', 5)):
+            command = PutControlGroup(name=name, voters=number)
+            sent = envelope(command, f'{name}-{number}')
+            assert propose(fleet.client(), sent).error == 'bad-input'
+
+
+def test_loss_that_leaves_too_little_is_named(tmp_path, capsys):
+    with seeded_cluster(tmp_path, 5, TIMING) as fleet:
+        leader = fleet.leader()
+        lost = next(n for n in fleet.hosts if n != leader.settings.name)
+        eventually(lambda: leader.config.leadership.age_ms() > 3_000)
+        fleet.kill(lost)
+        text = (
+            'config bears the loss of 1 more control hosts and should bear 2; '
+            f'silent: {lost}'
+        )
+        lines = []
+
+        def is_named():
+            lines.append(capsys.readouterr().out)
+            return text in ''.join(lines)
+
+        eventually(is_named)
