Let a transfer of leadership end before a stopping leader leaves

A leader that stops and hands its place to a waiting learner is no longer a voter, so it lets another lead, and the stop ended that transfer under way: changes waited for an election (400 to 800 ms and more) in place of tens of ms.

A name that read like an order is changed (`configured_voters`).

--- a/damasklanding/control/reconcile.py
+++ b/damasklanding/control/reconcile.py
@@ -15,7 +15,7 @@
 from damasklanding.control.voters import surplus_voter
 from damasklanding.errors import DamasklandingError
 from damasklanding.fleet.commands import DeleteResource
-from damasklanding.fleet.controlhosts import set_voters
+from damasklanding.fleet.controlhosts import configured_voters
 
 __all__ = ['MemberReconciler', 'lost_learner', 'next_change']
 
@@ -180,7 +180,7 @@
             return change
         name = surplus_voter(
             members,
-            set_voters(state),
+            configured_voters(state),
             replica.leadership.silent_voters(),
             self._name,
         )
--- a/damasklanding/control/replica.py
+++ b/damasklanding/control/replica.py
@@ -425,9 +425,12 @@
     def hand_over_leadership(self, reason):
         """Let another voter take over and stop leading, if it leads."""
         leadership = self.leadership
-        if leadership is None or leadership.is_transferring:
+        if leadership is None:
             return
-        self._transfer_leadership()
+        if leadership.is_transferring:
+            self._wait_for_transfer()
+        else:
+            self._transfer_leadership()
         if self.leadership is leadership:
             self.step_down(reason)
 
@@ -562,6 +565,11 @@
                     return
                 gevent.sleep(LEADER_POLL_MS / 1000)
 
+    def _wait_for_transfer(self):
+        with gevent.Timeout(LEADERSHIP_TRANSFER_TIMEOUT_MS / 1000, False):
+            while self.leadership is not None:
+                gevent.sleep(LEADER_POLL_MS / 1000)
+
 
 def _log_info(text, *arguments):
     _log('INFO', text, *arguments)
--- a/damasklanding/fleet/controlhosts.py
+++ b/damasklanding/fleet/controlhosts.py
@@ -20,7 +20,7 @@
     'delete_control_host',
     'put_control_group',
     'put_control_host',
-    'set_voters',
+    'configured_voters',
     'wanted_voters',
 ]
 
@@ -75,7 +75,7 @@
     return remove('control_host', name)
 
 
-def set_voters(state):
+def configured_voters(state):
     """Return the number of voters that operators have set, 0 for none."""
     return _control_group(state).voters
 
--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -210,9 +210,7 @@
         self._port = _free_port()
         names = [self.name_of(n) for n in range(1, count + 1)]
         super().__init__(folder, names, timing)
-        self._seeds = tuple(
-            f'{name}:{self._port}' for name in names[: self.SEEDS]
-        )
+        self._seeds = self._addresses_of(names)
 
     def name_of(self, number):
         return f'127.0.3.{number}'
@@ -220,6 +218,14 @@
     def _listen(self, name, address=''):
         return super()._listen(name, f'{name}:{self._port}')
 
+    def _addresses_of(self, names):
+        return tuple(f'{name}:{self._port}' for name in names[: self.SEEDS])
+
+    def add(self, name):
+        """Start an empty host whose seeds are hosts that run now."""
+        self._seeds = self._addresses_of(list(self.hosts))
+        return super().add(name)
+
     def settings_of(self, name, address, bootstrap):
         settings = super().settings_of(name, address, bootstrap)
         return msgspec.structs.replace(
--- a/tests/member_model.py
+++ b/tests/member_model.py
@@ -78,7 +78,7 @@
         self.luck = random.Random(seed)
         self.now_ms = 0.0
         self.wanted = count
-        self.set_voters = 0
+        self.configured_voters = 0
         self.names = 0
         self.lives = 0
         self.hosts = {}
@@ -267,7 +267,7 @@
         if change is None:
             name = surplus_voter(
                 members,
-                self.set_voters,
+                self.configured_voters,
                 self.silent_voters(members),
                 self.leader.name,
             )
--- a/tests/test_member_orders.py
+++ b/tests/test_member_orders.py
@@ -112,7 +112,7 @@
 def test_set_number_of_voters_outlasts_leaders(count):
     group = Group(count)
     group.run_for(2_000)
-    group.wanted = group.set_voters = count
+    group.wanted = group.configured_voters = count
     for _ in range(2):
         group.new_host()
     group.run_for(6_000)
--- a/tests/test_replaced_hosts.py
+++ b/tests/test_replaced_hosts.py
@@ -3,6 +3,9 @@
 hosts by seeds.
 """
 
+import os
+import random
+
 from control_cluster import Timing
 from control_cluster import envelope
 from control_cluster import eventually
@@ -20,6 +23,7 @@
 #: `catchUp` of the users' deployments: how long after the start of a successor
 #: the loss that it replaces still counts.
 CATCH_UP_S = 4.0
+SEEDS = int(os.environ.get('DAMASKLANDING_REPLACEMENT_SEEDS', '1'))
 
 
 def write(fleet, number):
@@ -68,7 +72,7 @@
         assert write(fleet, 2)
         kept = [name for name in fleet.hosts if name != fleet.name_of(7)]
         lose_disks_with_all_hosts_down(fleet, kept[:2])
-        eventually(lambda: fleet.has_leader(), 8)
+        eventually(fleet.has_leader, 8)
         assert weight(fleet) == 2
         eventually(lambda: write(fleet, 3), 8)
 
@@ -78,6 +82,11 @@
     return {member.name for member in members if member.voter}
 
 
+def has_caught_up_learner(fleet):
+    leadership = fleet.leader().config.leadership
+    return leadership is not None and leadership.caught_up_learners()
+
+
 def test_host_that_was_frozen_while_its_successor_came_waits_as_a_learner(
     tmp_path,
 ):
@@ -117,6 +126,19 @@
         assert fleet.leader().config.losses() == (2, 2)
 
 
+def test_leader_that_hands_its_place_over_lets_another_lead_at_once(tmp_path):
+    slow = Timing(
+        heartbeat_ms=20, election_min_ms=3_000, election_max_ms=6_000
+    )
+    with seeded_cluster(tmp_path, 5, slow) as fleet:
+        new = fleet.name_of(6)
+        fleet.add(new)
+        eventually(lambda: has_caught_up_learner(fleet))
+        fleet.stop(fleet.leader().settings.name)
+        eventually(fleet.has_leader, 1.5)
+        assert voters(fleet) == set(fleet.hosts)
+
+
 def test_operators_set_how_many_hosts_vote(tmp_path):
     with seeded_cluster(tmp_path, 5, TIMING) as fleet:
         for number in (3, 5):
@@ -153,3 +175,93 @@
             return text in ''.join(lines)
 
         eventually(is_named)
+
+
+class Maintenance:
+    """Replacements and short faults of control hosts, in random order."""
+
+    def __init__(self, fleet, seed):
+        self.fleet = fleet
+        self.luck = random.Random(seed)
+        self.started = 5
+        self.away = set()
+        self.events = []
+
+    def choose(self):
+        return self.luck.choice(sorted(set(self.fleet.hosts) - self.away))
+
+    def add(self):
+        self.started += 1
+        name = self.fleet.name_of(self.started)
+        self.fleet.add(name)
+        return name
+
+    def replace_lost(self):
+        lost = self.choose()
+        self.fleet.kill(lost)
+        gevent.sleep(self.luck.choice((1.0, 2.0)))
+        self.events.append(f'{lost} is lost, {self.add()} replaces it')
+
+    def replace_planned(self):
+        new = self.add()
+        self.away.add(new)
+        gevent.sleep(self.luck.choice((1.0, 2.0)))
+        old = self.choose()
+        self.fleet.stop(old)
+        self.away.discard(new)
+        self.events.append(f'{new} starts, then {old} stops')
+
+    def cut(self):
+        name = self.choose()
+        self.away.add(name)
+        self.fleet.isolate(name)
+        gevent.sleep(self.luck.choice((0.5, 1.5, 4.0)))
+        self.fleet.rejoin(name)
+        self.away.discard(name)
+        self.events.append(f'{name} was cut off')
+
+    def restart(self):
+        name = self.choose()
+        self.fleet.kill(name)
+        self.fleet.start(name, bootstrap=False)
+        self.events.append(f'{name} was killed')
+
+    def run(self):
+        """Run one event after another, each in the wake of the last."""
+        kinds = (
+            self.replace_lost,
+            self.replace_planned,
+            self.cut,
+            self.restart,
+        )
+        for _ in range(5):
+            self.luck.choice(kinds)()
+            gevent.sleep(self.luck.choice((0.0, 1.0, CATCH_UP_S)))
+        if self.luck.random() < 0.5:
+            for name in (self.choose(), self.choose()):
+                if name in self.fleet.hosts:
+                    self.fleet.kill(name)
+            gevent.sleep(1.0)
+            while len(self.fleet.hosts) < 5:
+                self.add()
+            self.events.append('two are lost at once and replaced')
+
+
+@pytest.mark.parametrize('seed', range(SEEDS))
+def test_maintenance_in_any_order_leaves_a_group_that_bears_two_more_losses(
+    tmp_path, seed
+):
+    with seeded_cluster(tmp_path, 5, TIMING) as fleet:
+        maintenance = Maintenance(fleet, seed)
+        maintenance.run()
+        gevent.sleep(CATCH_UP_S)
+        losses = fleet.leader().config.losses()
+        assert losses == (2, 2), maintenance.events
+        assert write(fleet, 1), maintenance.events
+        lost = maintenance.luck.sample(sorted(fleet.hosts), 2)
+        lose_disks_with_all_hosts_down(fleet, lost)
+        eventually(fleet.has_leader, 8)
+        assert weight(fleet) == 1, maintenance.events
+        eventually(
+            lambda: fleet.leader().config.losses() == (2, 2), CATCH_UP_S
+        )
