--- a/tests/test_replaced_hosts.py
+++ b/tests/test_replaced_hosts.py
@@ -5,6 +5,7 @@
 
 import os
 import random
+import time
 
 from control_cluster import Timing
 from control_cluster import envelope
@@ -178,9 +179,16 @@
 
 
 class Maintenance:
-    """Replacements and short faults of control hosts, in random order."""
+    """
+    Replacements and short faults of control hosts, in random order.
+
+    At most two hosts count as lost at a moment.
+
+    :ivar lost_until: when each of the latest losses stops counting.
+    """
 
     def __init__(self, fleet, seed):
+        self.lost_until = []
         self.fleet = fleet
         self.luck = random.Random(seed)
         self.started = 5
@@ -190,7 +198,14 @@
     def choose(self):
         return self.luck.choice(sorted(set(self.fleet.hosts) - self.away))
 
+    def wait_until_at_most(self, count):
+        while sum(until > time.monotonic() for until in self.lost_until) > (
+            count
+        ):
+            gevent.sleep(0.05)
+
     def add(self):
+        self.lost_until.append(time.monotonic() + CATCH_UP_S)
         self.started += 1
         name = self.fleet.name_of(self.started)
         self.fleet.add(name)
@@ -217,6 +232,7 @@
         self.fleet.isolate(name)
         gevent.sleep(self.luck.choice((0.5, 1.5, 4.0)))
         self.fleet.rejoin(name)
+        self.lost_until.append(time.monotonic() + CATCH_UP_S)
         self.away.discard(name)
         self.events.append(f'{name} was cut off')
 
@@ -224,10 +240,11 @@
         name = self.choose()
         self.fleet.kill(name)
         self.fleet.start(name, bootstrap=False)
+        self.lost_until.append(time.monotonic() + CATCH_UP_S)
         self.events.append(f'{name} was killed')
 
     def run(self):
-        """Run one event after another, each in the wake of the last."""
+        """Run one event after another, the next soon after the last."""
         kinds = (
             self.replace_lost,
             self.replace_planned,
@@ -235,9 +252,11 @@
             self.restart,
         )
         for _ in range(5):
+            self.wait_until_at_most(1)
             self.luck.choice(kinds)()
             gevent.sleep(self.luck.choice((0.0, 1.0, CATCH_UP_S)))
         if self.luck.random() < 0.5:
+            self.wait_until_at_most(0)
             for name in (self.choose(), self.choose()):
                 if name in self.fleet.hosts:
                     self.fleet.kill(name)
