--- a/tests/test_member_orders.py
+++ b/tests/test_member_orders.py
@@ -66,16 +66,17 @@
 KINDS = (replace_lost, replace_lost, replace_planned, suspend, kill)
 
 
-def play(group):
+def play(group, end_ms=float('inf')):
+    """Play some events, until none is pending or until a given time."""
     pending = []
     left = EVENTS
-    while left or pending or group.counted_lost():
+    while (left or pending or group.counted_lost()) and group.now_ms < end_ms:
         due = [task for task in pending if task[0] <= group.now_ms]
         for task in due:
             pending.remove(task)
             task[1]()
-        busy = group.counted_lost() + len(pending)
-        if left and busy < group.tolerance and group.luck.random() < 0.2:
+        lost = group.counted_lost()
+        if left and lost < group.tolerance and group.luck.random() < 0.2:
             left -= 1
             group.luck.choice(KINDS)(group, pending)
         group.step()
@@ -109,6 +110,38 @@
         check_bears_lost_disks(group)
 
 
+def power_off_now(group):
+    """Stop all hosts; as many lose their disks as may be lost yet."""
+    may_lose = max(group.tolerance - group.counted_lost(), 0)
+    running = [host for host in group.hosts.values() if group.runs(host)]
+    group.power_off(group.luck.sample(running, may_lose))
+    for host in group.hosts.values():
+        if host.state in ('frozen', 'cut'):
+            group.resume(host)
+
+
+@pytest.mark.parametrize('count', (3, 5, 7))
+def test_power_loss_amid_replacements_keeps_what_was_confirmed(count):
+    for number in range(ORDERS // BATCHES):
+        group = Group(f'amid/{number}', count)
+        group.run_for(2_000)
+        play(group, 2_000 + 250 * group.luck.randrange(1, 60))
+        confirmed = group.write()
+        written = group.written
+        power_off_now(group)
+        group.run_for(8_000)
+        assert group.leader is not None, group.events
+        kept = {entry.write for entry in group.leader.log}
+        assert written in kept or not confirmed, group.events
+
+
+def test_seven_hosts_bear_three_losses_after_replacements_in_a_row():
+    group = Group('x/457', 7)
+    group.run_for(2_000)
+    play(group)
+    check_bears_lost_disks(group)
+
+
 @pytest.mark.parametrize('count', (3, 5, 7))
 def test_set_number_of_voters_outlasts_leaders(count):
     group = Group(f'set/{count}')
