--- a/tests/test_refused_entries.py
+++ b/tests/test_refused_entries.py
@@ -115,7 +115,8 @@
 ):
     with cluster(tmp_path) as fleet:
         leader = fleet.start_all()
-        eventually(lambda: leader.view.state.all('control_host'))
+        hosts = leader.view.state.all('control_host')
+        eventually(lambda: len(hosts) == len(fleet.hosts))
         last = leader.config.journal.last_index
         with operator_api(leader) as address:
             status, body = order(address, method, f'/evacuation/{name}')
