--- a/damasklanding/control/host.py
+++ b/damasklanding/control/host.py
@@ -55,7 +55,8 @@
 JOIN_RETRY_MS = 250
 JOIN_TIMEOUT_MS = 1_500
 SILENT_LINK_TIMEOUT_MS = 600
-#: An election takes less than this.
+#: Time for an election, without which no learner can take a place, if the
+#: leader is lost as well.
 HAND_OVER_TIMEOUT_MS = 2_000
 #: An accepted configuration must be readable on every host within 2 s, so
 #: this limit is below that.
--- a/damasklanding/control/reconcile.py
+++ b/damasklanding/control/reconcile.py
@@ -22,7 +22,8 @@
 PERIOD_MS = 500
 FRESH_LIMIT_MS = 3_000
 PROPOSE_TIMEOUT_MS = 2_000
-#: A restart takes less than this.
+#: A host that restarts answers again before this, so that only one that stays
+#: away is deleted from the list.
 LOST_AFTER_MS = 2_500
 
 
