--- a/damasklanding/node/presence.py
+++ b/damasklanding/node/presence.py
@@ -62,16 +62,22 @@
     """
 
     def __init__(
-        self, address, announce, is_known_service=lambda _service: True
+        self,
+        address,
+        announce,
+        is_known_service=lambda _service: True,
+        now_ms=monotonic_ms,
     ):
         self._address = address
+        self._now_ms = now_ms
+        self._drains_since_ms = None
         self._announce = announce
         self._is_known_service = is_known_service
         self._latest = None
         self._left = False
         self._suspects = deque(maxlen=MAX_SUSPECTS)
         self._logged_state = None
-        self._log = CappedLog(monotonic_ms)
+        self._log = CappedLog(now_ms)
 
     def handle_report(self, report):
         """
@@ -159,7 +165,22 @@
         if logged_state == self._logged_state:
             return
         self._logged_state = logged_state
-        self._log.write('report', f'the backend server is {state}: {cause}')
+        self._log.write(
+            'report',
+            f'the backend server is {state}: {cause}'
+            + self._drained_for(state),
+        )
+
+    def _drained_for(self, state):
+        """Return for how long a server that leaves has got no work."""
+        now_ms = self._now_ms()
+        since_ms = self._drains_since_ms
+        if state != 'leaving':
+            self._drains_since_ms = now_ms if state == 'draining' else None
+            return ''
+        if since_ms is None:
+            return ''
+        return f', {now_ms - since_ms:.0f} ms after its report that it drains'
 
     def _require_plausible(self, report):
         _require_past(report.started_at_ms)
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -199,3 +199,16 @@
         with contextlib.suppress(BadInput):
             presence.handle_report(but(sequence=sequence))
     assert len(lines) <= 2 * CappedLog.LINES_PER_S
+
+
+def test_departure_says_how_long_the_server_was_there_unused(lines, announced):
+    clock = [5_000.0]
+    presence = BackendPresence(
+        '10.0.0.1:80', announced.append, now_ms=lambda: clock[0]
+    )
+    presence.handle_report(REPORT)
+    presence.handle_report(but(in_service=False, sequence=5))
+    clock[0] += 2_350
+    presence.record_departure('i-1')
+    assert 'draining' in lines[-2]
+    assert '2350 ms after its report that it drains' in lines[-1]
