--- a/damasklanding/commands/fleet.py
+++ b/damasklanding/commands/fleet.py
@@ -153,6 +153,8 @@
         return 'held out'
     if backend['state'] != 'in' or (load and load['draining']):
         return 'draining'
+    if backend.get('departure'):
+        return 'leaving'
     if load and load['cold']:
         return 'cold'
     return 'in'
--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -57,16 +57,23 @@
 
     :ivar path: :class:`damasklanding.node.assembly.NodeStatus`.
     :ivar load: :class:`damasklanding.policy.types.LoadReport`.
+    :ivar kept_server: :class:`damasklanding.node.presence.KeptServer` while
+        the backend server leaves and is in use, else None.
     """
 
     path: object
     load: object
+    kept_server: object = None
 
 
 def _no_line(_line):
     return None
 
 
+def _no_server():
+    return None
+
+
 def _throttle_log():
     """Return a function that logs when the throttle begins and ends."""
     log = CappedLog(monotonic_ms)
@@ -383,6 +390,9 @@
             ),
         )
         self.leaving = False
+        self.kept_server = _no_server
+        daemon.metrics.collect_with(self._set_kept_servers)
+        self._metrics = daemon.metrics
         self.services = self.interface.node_services(self)
         daemon.handlers.update(self.owner.handlers())
         daemon.handlers.update(self.node.handlers())
@@ -453,6 +463,25 @@
             self.view.state, lambda backend: backend.name == own
         )
 
+    def is_last_server(self):
+        """
+        Return whether no other backend server can replace the local one.
+
+        :return: False while it is not in use itself, and while this node does
+            not know.
+        """
+        own = self.view.state.get('backend', self.settings.name)
+        return (
+            own is not None
+            and not self.leaving
+            and not own.held_out
+            and not self.view.data_centre_out(own.data_centre)
+            and self.view.age_ms() <= self.settings.leave_confirm_ms
+            and self.watch.knows_service(self.node.service)
+            and self.may_have_service(self.node.service)
+            and not self.node.has_other_backend()
+        )
+
     def _reach(self, pool, identity):
         from damasklanding.budget.reach import Reach
 
@@ -499,7 +528,13 @@
 
     def status(self):
         """Return the status of the data path and of its admission."""
-        return NodeRoleStatus(self.node.status(), self.gate.load())
+        return NodeRoleStatus(
+            self.node.status(), self.gate.load(), self.kept_server()
+        )
+
+    def _set_kept_servers(self):
+        is_kept = self.kept_server() is not None
+        self._metrics.set('last_servers_kept', int(is_kept))
 
 
 def _left_s(until_ms):
--- a/damasklanding/errors.py
+++ b/damasklanding/errors.py
@@ -16,6 +16,7 @@
     'CorruptStore',
     'DamasklandingError',
     'DeadlineExceeded',
+    'DepartureDeferred',
     'Draining',
     'Forbidden',
     'HeaderTimeout',
@@ -267,6 +268,13 @@
     may_retry = True
 
 
+class DepartureDeferred(Refusal):
+    """A departure that is not confirmed yet."""
+
+    code = 'departure-deferred'
+    remedy = 'report the departure again'
+
+
 class Quarantined(Refusal):
     """Requests like this one have ended several backend servers."""
 
--- a/damasklanding/fleet/availability.py
+++ b/damasklanding/fleet/availability.py
@@ -34,7 +34,8 @@
     Return the services that have no usable backend server under an order.
 
     Services that the order takes no backend server of are left out.  An order
-    that holds already gives the same answer as the first time.
+    that holds already gives the same answer as the first time.  A backend
+    server that leaves keeps no service usable.
 
     :param is_taken: function of a
         :class:`~damasklanding.fleet.resources.Backend`; returns whether the
@@ -47,7 +48,7 @@
     for backend in state.all('backend').values():
         is_usable = not unusable_reason(state, backend)
         if not is_taken(backend):
-            if is_usable:
+            if is_usable and not backend.departure:
                 kept.add(backend.service)
         elif is_usable or not newly:
             taken.add(backend.service)
--- a/damasklanding/fleet/backends.py
+++ b/damasklanding/fleet/backends.py
@@ -18,12 +18,14 @@
 __all__ = ['expire_backends', 'hold_backend', 'register_backend']
 
 BACKEND_STATES = ('in', 'draining')
+DEPARTURE_STAGES = ('', 'kept', 'ending')
 
 
 def register_backend(state, command, revision):
     """Write a node's registration and keep its ``held_out`` flag."""
     backend = command.backend
     require_choice('state', backend.state, BACKEND_STATES)
+    require_choice('departure', backend.departure, DEPARTURE_STAGES)
     known = state.get('backend', backend.name)
     held_out = known is not None and known.held_out
     backend = msgspec.structs.replace(backend, held_out=held_out)
--- a/damasklanding/fleet/resources.py
+++ b/damasklanding/fleet/resources.py
@@ -210,6 +210,9 @@
     :ivar slots: announced concurrency limit, 0 if unknown.
     :ivar start: id of the present start of the backend server, empty if it
         names none.
+    :ivar departure: ``kept`` or ``ending`` while the backend server leaves and
+        is in use since no other one can take its place; once it is
+        ``ending``, for chains that have begun.
     """
 
     instance: str
@@ -221,6 +224,7 @@
     cold_start: bool = True
     slots: int = 0
     start: str = ''
+    departure: str = ''
 
 
 class BudgetShard(Resource, frozen=True, kw_only=True):
--- a/damasklanding/interfaces.py
+++ b/damasklanding/interfaces.py
@@ -124,6 +124,7 @@
 
 
 def _platform_node_services(role):
+    from damasklanding.node.departure import LeaveBounds
     from damasklanding.node.presence import BackendPresence
     from damasklanding.operations import readiness_app
     from damasklanding.platform.announcements import announcement_app
@@ -131,8 +132,17 @@
 
     settings = role.settings
     presence = BackendPresence(
-        settings.backend_address, role.node.announce, role.may_have_service
+        settings.backend_address,
+        role.node.announce,
+        role.may_have_service,
+        bounds=LeaveBounds(
+            settings.leave_confirm_ms,
+            settings.leave_drain_ms,
+            settings.report_interval_ms,
+        ),
+        is_last=role.is_last_server,
     )
+    role.kept_server = presence.kept_server
     apps = (
         (
             settings.announce_address,
--- a/damasklanding/metrics.py
+++ b/damasklanding/metrics.py
@@ -61,6 +61,11 @@
         'Services that have lost their last usable backend server',
         (),
     ),
+    'last_servers_kept': (
+        '1 while the backend server leaves and is kept in use, as the last '
+        'usable one of its service',
+        (),
+    ),
     'control_losses_borne': (
         'Losses of control hosts that a group bears now, on its leader',
         ('group',),
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -246,9 +246,10 @@
             metrics,
             self._retry_shares,
         )
+        self._forwarder = forwarder
         dependencies = DependencyCheck(
             now_ms,
-            forwarder.has_backend,
+            forwarder.accepts_chains,
             partial(gevent.spawn, ensure_service),
             partial(_log_dependency, forwarder.unusable_backends),
             ColdTurns(
@@ -391,6 +392,10 @@
             pooled_connections=self._upstream.idle_count(),
         )
 
+    def has_other_backend(self):
+        """Return whether another backend server can replace the local one."""
+        return self._forwarder.has_other_backend(self.service)
+
     def _busy(self):
         return len(self._table) or not all(
             listener.is_idle() for listener in self._listeners()
--- a/damasklanding/node/crashes.py
+++ b/damasklanding/node/crashes.py
@@ -191,7 +191,9 @@
                 self._prove_end()
             self._abandoned.clear()
             self._start = start
-        self._leaves = announcement.state == 'draining'
+        self._leaves = (
+            announcement.state == 'draining' or announcement.departure != ''
+        )
 
     def _find_break(self, call):
         """Return the break that a call belongs to, a new one if need be."""
--- a/damasklanding/node/forward.py
+++ b/damasklanding/node/forward.py
@@ -19,6 +19,7 @@
 from damasklanding.errors import UpstreamTimeout
 from damasklanding.node.answers import NOT_RUN
 from damasklanding.node.answers import UNKNOWN
+from damasklanding.node.departure import ENDING
 from damasklanding.node.dialect import SHED_STATUSES
 from damasklanding.policy.retry import MAX_REROUTES
 from damasklanding.policy.retry import AttemptOutcome
@@ -117,6 +118,32 @@
         """Return whether a backend server of a service accepts calls."""
         return self._router.has_usable(self._candidates_of(service))
 
+    def accepts_chains(self, service):
+        """
+        Return whether a backend server of a service accepts new chains.
+
+        One that is about to end its departure serves those that have begun.
+        """
+        staying = [
+            backend
+            for backend in self._candidates_of(service)
+            if backend.departure != ENDING
+        ]
+        return self._router.has_usable(staying)
+
+    def has_other_backend(self, service):
+        """
+        Return whether another backend server can replace the local one.
+
+        It must be warm and not leave as well.
+        """
+        others = [
+            backend
+            for backend in self._candidates_of(service)
+            if backend.name != self._name and not backend.departure
+        ]
+        return self._router.has_warm(others)
+
     def cold_interval_ms(self, service):
         """
         Return the time between two calls of this node to a cold service.
--- a/damasklanding/node/presence.py
+++ b/damasklanding/node/presence.py
@@ -9,13 +9,25 @@
 from collections import deque
 from dataclasses import dataclass
 
+import gevent
+
 from damasklanding.clock import monotonic_ms
 from damasklanding.clock import wall_ms
 from damasklanding.errors import BadInput
+from damasklanding.errors import DepartureDeferred
 from damasklanding.logs import CappedLog
+from damasklanding.node.departure import ENDING
+from damasklanding.node.departure import GONE
+from damasklanding.node.departure import KEPT
+from damasklanding.node.departure import Departure
+from damasklanding.node.departure import LeaveBounds
 from damasklanding.node.registration import Announcement
 
-__all__ = ['BackendPresence', 'BackendReport']
+__all__ = ['BackendPresence', 'BackendReport', 'KeptServer']
+
+NO_BOUNDS = LeaveBounds()
+#: Time between two looks at the stage of a departure.
+FOLLOW_MS = 50
 
 #: A start that lies further ahead of this host's clock is not believed.
 MAX_CLOCK_LEAD_MS = 60_000
@@ -50,6 +62,21 @@
     sequence: int
 
 
+@dataclass(frozen=True, slots=True)
+class KeptServer:
+    """
+    A backend server that leaves and is in use as the last of its service.
+
+    :ivar is_confirmed: whether its departure has been confirmed.
+    :ivar left_ms: for how long it is used at most.
+    """
+
+    service: str
+    instance: str
+    is_confirmed: bool
+    left_ms: int
+
+
 class BackendPresence:
     """
     The backend server beside this node.
@@ -59,6 +86,9 @@
         :class:`~damasklanding.node.registration.Announcement`.
     :param is_known_service: function of a service's name; returns whether the
         configuration has it, or may have it.
+    :param bounds: :class:`~damasklanding.node.departure.LeaveBounds`.
+    :param is_last: function that returns whether no other backend server can
+        take its place.
     """
 
     def __init__(
@@ -67,14 +97,19 @@
         announce,
         is_known_service=lambda _service: True,
         now_ms=monotonic_ms,
+        bounds=NO_BOUNDS,
+        is_last=lambda: False,
     ):
         self._address = address
         self._now_ms = now_ms
         self._drains_since_ms = None
         self._announce = announce
         self._is_known_service = is_known_service
+        self._bounds = bounds
+        self._is_last = is_last
         self._latest = None
         self._left = False
+        self._departure = None
         self._suspects = deque(maxlen=MAX_SUSPECTS)
         self._logged_state = None
         self._log = CappedLog(now_ms)
@@ -88,6 +123,8 @@
         out of line is believed only once another report has continued it.
 
         :raises BadInput: it is of another address, or not believed.
+        :raises DepartureDeferred: it says that the backend server leaves,
+            which is not confirmed yet.
         """
         try:
             self._take_report(report)
@@ -106,32 +143,32 @@
                 f'{report.address} is not the backend server of this node',
                 'announce it to the node beside it',
             )
+        latest = self._latest
+        same_start = latest is not None and _is_same_start(latest, report)
         if not self._is_newer(report) and not self._goes_back(report):
+            if same_start and not report.in_service:
+                self._require_confirmation()
             return
         self._require_plausible(report)
+        was_in_service = same_start and latest.in_service
         self._latest = report
         self._left = False
-        cold = report.cold_for_ms > 0
-        state = 'in' if report.in_service else 'draining'
-        text = 'in, cold' if cold and state == 'in' else state
-        self._log_state(text, report, f'report {_title(report)}')
-        self._announce(
-            Announcement(
-                service=report.service,
-                state=state,
-                cold=cold,
-                slots=report.slots,
-                instance=report.instance,
-                cold_for_ms=report.cold_for_ms,
-                started_at_ms=report.started_at_ms,
-            )
-        )
+        if report.in_service or not same_start:
+            self._departure = None
+        if report.in_service:
+            self._announce_latest(f'report {_title(report)}')
+            return
+        if self._departure is None:
+            self._begin_departure(was_in_service)
+        self._announce_latest(f'report {_title(report)}')
+        self._require_confirmation()
 
     def record_departure(self, instance, started_at_ms=0):
         """
         Note that a start of the backend server takes no new work.
 
         :return: whether it is the latest start.
+        :raises DepartureDeferred: that is not confirmed yet.
         """
         latest = self._latest
         if (
@@ -146,18 +183,86 @@
             )
             return False
         _require_past(started_at_ms)
+        departure = self._departure
+        if departure is None:
+            self._begin_departure(latest.in_service and not self._left)
+        elif not self._left:
+            # Its reports have said so before: it exits with this one.
+            departure.end()
         self._left = True
-        self._log_state('leaving', latest, f'a departure of {instance}')
-        self._announce(
-            Announcement(
-                service=latest.service,
-                state='draining',
-                slots=latest.slots,
-                instance=instance,
-                started_at_ms=latest.started_at_ms,
+        self._announce_latest(f'a departure of {instance}')
+        self._require_confirmation()
+        return True
+
+    def kept_server(self):
+        """
+        Return the backend server if it leaves and is still in use.
+
+        :return: :class:`KeptServer`, or None.
+        """
+        departure = self._departure
+        if departure is None or departure.stage() == GONE:
+            return None
+        return KeptServer(
+            self._latest.service,
+            self._latest.instance,
+            departure.is_confirmed(),
+            round(departure.left_ms()),
+        )
+
+    def _begin_departure(self, was_in_service):
+        self._departure = Departure(
+            self._bounds, self._is_last, self._now_ms, was_in_service
+        )
+        gevent.spawn(self._follow, self._departure)
+
+    def _follow(self, departure):
+        """Announce the stages of a departure until it is over."""
+        while self._departure is departure and not departure.is_over():
+            self._announce_latest('its departure')
+            gevent.sleep(FOLLOW_MS / 1000)
+        if self._departure is departure:
+            self._announce_latest('its departure')
+
+    def _require_confirmation(self):
+        """
+        Confirm the departure, if there is one.
+
+        :raises DepartureDeferred: it is too early.
+        """
+        departure = self._departure
+        if departure is not None and not departure.confirm():
+            raise DepartureDeferred(
+                f'{self._latest.service} has no other usable backend server'
             )
+
+    def _announce_latest(self, cause):
+        """Announce what the latest report and its departure come to."""
+        report = self._latest
+        departure = self._departure
+        stage = '' if departure is None else departure.stage()
+        cold = report.cold_for_ms > 0
+        if stage == GONE:
+            state, text = 'draining', 'leaving' if self._left else 'draining'
+        else:
+            state, text = 'in', stage or ('in, cold' if cold else 'in')
+        if stage in (KEPT, ENDING):
+            cause = (
+                f'{cause}; no other one of {report.service} is usable, so it '
+                f'is used for {departure.left_ms():.0f} ms more at most'
+            )
+        self._log_state(text, report, cause)
+        announcement = Announcement(
+            service=report.service,
+            state=state,
+            cold=cold,
+            slots=report.slots,
+            instance=report.instance,
+            cold_for_ms=report.cold_for_ms,
+            started_at_ms=report.started_at_ms,
+            departure='' if stage == GONE else stage,
         )
-        return True
+        self._announce(announcement)
 
     def _log_state(self, state, report, cause):
         """Log the state of a start, and what said so, if it is new."""
@@ -169,6 +274,7 @@
             'report',
             f'the backend server is {state}: {cause}'
             + self._drained_for(state),
+            'WARNING' if state == KEPT else 'INFO',
         )
 
     def _drained_for(self, state):
--- a/damasklanding/node/registration.py
+++ b/damasklanding/node/registration.py
@@ -39,6 +39,8 @@
         say.
     :ivar started_at_ms: when it started, on its host's clock; 0 where it does
         not say.
+    :ivar departure: stage of its departure while it is still in use, empty
+        unless it leaves.
     """
 
     service: str
@@ -48,6 +50,7 @@
     instance: str = ''
     cold_for_ms: int = 0
     started_at_ms: int = 0
+    departure: str = ''
 
     @property
     def start(self):
@@ -122,6 +125,7 @@
             cold_start=announced.cold,
             slots=announced.slots,
             start=announced.start,
+            departure=announced.departure,
         )
 
     def _draining_reason(self):
--- a/damasklanding/options.py
+++ b/damasklanding/options.py
@@ -445,6 +445,31 @@
         'give a time such as 6s',
         'DURATION',
     ),
+    Option(
+        'leave_confirm_ms',
+        'Time within which the departure of the backend server must be '
+        'confirmed, with its unit; the last usable one of its service is kept '
+        'in use meanwhile. 0ms confirms each at once (platform interface).',
+        _duration_ms(0, 600_000),
+        'give a time such as 4s',
+        'DURATION',
+    ),
+    Option(
+        'leave_drain_ms',
+        'Time for which the backend server serves after the confirmation of '
+        'its departure, with its unit (platform interface).',
+        _duration_ms(0, 600_000),
+        'give a time such as 2s',
+        'DURATION',
+    ),
+    Option(
+        'report_interval_ms',
+        'Time between two reports of the backend server, with its unit '
+        '(platform interface).',
+        _duration_ms(1, 600_000),
+        'give a time such as 1500ms',
+        'DURATION',
+    ),
     Option(
         'log_level',
         'Lowest level that is logged.',
--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -248,6 +248,14 @@
         """Return whether a backend server accepts calls, as far as known."""
         return bool(self._usable(candidates, (), self._now_ms()))
 
+    def has_warm(self, candidates):
+        """Return whether a backend server accepts calls and is warm."""
+        now_ms = self._now_ms()
+        return any(
+            not self._is_warming(candidate, now_ms)
+            for candidate in self._usable(candidates, (), now_ms)
+        )
+
     def unusable(self, candidates):
         """Return why by name for backend servers that accept no calls."""
         now_ms = self._now_ms()
--- a/damasklanding/settings.py
+++ b/damasklanding/settings.py
@@ -74,6 +74,9 @@
     retry_fleet_slack: int = 0
     retry_window_ms: int = 10_000
     stop_grace_ms: int = 30_000
+    leave_confirm_ms: int = 0
+    leave_drain_ms: int = 0
+    report_interval_ms: int = 1_500
     log_level: str = 'info'
     log_json: bool = False
     settings_file: str = ''
--- a/damasklanding/viewlog.py
+++ b/damasklanding/viewlog.py
@@ -173,6 +173,7 @@
         backend.held_out,
         backend.instance,
         backend.start,
+        backend.departure,
     )
 
 
@@ -184,4 +185,6 @@
 def _state(backend):
     if backend.held_out:
         return 'held out'
+    if backend.departure:
+        return f'{backend.state}, and leaves ({backend.departure})'
     return backend.state
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -342,9 +342,9 @@
 
 
 @contextmanager
-def platform_fleet(folder, services=SERVICES):
+def platform_fleet(folder, services=SERVICES, build=PlatformFleet):
     """Run a fleet with its first configuration in force."""
-    fleet = PlatformFleet(folder, services)
+    fleet = build(folder, services)
     try:
         fleet.start()
         eventually(
