--- a/damasklanding/policy/routing.py
+++ b/damasklanding/policy/routing.py
@@ -377,19 +377,26 @@
                 continue
             if now_ms - stats.reported_ms > REPORT_MAX_AGE_MS:
                 stats.report = _UNKNOWN
-            if not stats.report.draining:
+            is_draining = (
+                stats.report.draining
+                and stats.reported_ms >= candidate.kept_ms
+            )
+            if not is_draining:
                 usable.append(candidate)
         return usable
 
     def _add_candidate(self, backend, previous, now_ms):
         stats = self._stats_of(backend.name)
         joined_ms = now_ms
+        kept_ms = now_ms if backend.departure else float('-inf')
         if previous is not None:
+            if previous.backend.departure and backend.departure:
+                kept_ms = previous.kept_ms
             if previous.backend.instance != backend.instance:
                 stats.forget_failures()
             elif previous.backend.start == backend.start:
                 joined_ms = previous.joined_ms
-        candidate = _Candidate(backend, stats, joined_ms)
+        candidate = _Candidate(backend, stats, joined_ms, kept_ms)
         self._candidates[backend.name] = candidate
         return candidate
 
@@ -532,14 +539,17 @@
     A backend server and its statistics.
 
     :ivar joined_ms: time at which this node first saw its present start.
+    :ivar kept_ms: time at which this node saw that it is kept in use while it
+        leaves; earlier reports that it drains are out of date.
     """
 
-    __slots__ = ('backend', 'joined_ms', 'stats')
+    __slots__ = ('backend', 'joined_ms', 'kept_ms', 'stats')
 
-    def __init__(self, backend, stats, joined_ms):
+    def __init__(self, backend, stats, joined_ms, kept_ms):
         self.backend = backend
         self.stats = stats
         self.joined_ms = joined_ms
+        self.kept_ms = kept_ms
 
 
 def _healthy(usable, now_ms):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -77,6 +77,23 @@
     assert set(chosen(router, 20, FLEET[1:3])) == {'near-2'}
 
 
+def test_server_that_is_kept_again_is_used_despite_an_earlier_report(
+    router, clock
+):
+    leaving = backend('n1')
+    router.choose([leaving], admission_request(0), ())
+    report(router, 'n1', draining=True)
+    with pytest.raises(Unavailable):
+        router.choose([leaving], admission_request(0), ())
+    clock[0] += 100
+    kept = backend('n1', departure='kept')
+    assert router.choose([kept], admission_request(0), ()) is kept
+    clock[0] += 100
+    report(router, 'n1', draining=True)
+    with pytest.raises(Unavailable):
+        router.choose([kept], admission_request(0), ())
+
+
 def test_excluded_are_not_tried_again(router):
     with pytest.raises(Unavailable):
         router.choose(FLEET[:1], admission_request(0), {'own'})
