--- a/damasklanding/messages.py
+++ b/damasklanding/messages.py
@@ -253,6 +253,8 @@
         calls of the request needed.
     :ivar bottleneck: service of the chain with the highest admission level,
         and that level.
+    :ivar leaving_services: services that its chain called and whose last
+        usable backend server leaves.
     """
 
     status: int
@@ -267,6 +269,7 @@
     load: bytes = b''
     missing_services: tuple[str, ...] = ()
     bottleneck: tuple[str, int] = ('', -1)
+    leaving_services: tuple[str, ...] = ()
 
 
 @packed_message('resume')
--- a/damasklanding/node/answers.py
+++ b/damasklanding/node/answers.py
@@ -63,6 +63,8 @@
     :ivar load: encoded load report of the node that answered.
     :ivar missing_services: services without a backend server that onward
         calls of the request needed.
+    :ivar leaving_services: services that its chain called and whose last
+        usable backend server leaves.
     :ivar bottleneck: :data:`~damasklanding.policy.chainadmission.Bottleneck`
         of the request's chain.
     :ivar release: function that frees the resources of a streamed body, None
@@ -81,6 +83,7 @@
     load: bytes = b''
     release: object = None
     missing_services: object = ()
+    leaving_services: object = ()
     bottleneck: tuple = NO_BOTTLENECK
 
     def close(self):
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -224,6 +224,7 @@
             self._crashes,
             self._lose_backend,
             decisions,
+            self._is_kept,
         )
         self._names_limits = backend_dialect.read_notice is not read_no_notice
         self._expect_first_answer()
@@ -407,6 +408,9 @@
     def _own_service(self):
         return self.service
 
+    def _is_kept(self):
+        return self._announced is not None and self._announced.departure != ''
+
     def announce(self, announcement):
         """Take an announcement of the backend server beside this node."""
         if announcement.start != self._start:
--- a/damasklanding/node/calls.py
+++ b/damasklanding/node/calls.py
@@ -163,6 +163,8 @@
     :ivar may_retry: False once a failed onward call has excluded retries.
     :ivar missing_services: services without a backend server that onward
         calls needed.
+    :ivar leaving_services: services that onward calls reached and whose last
+        usable backend server leaves.
     """
 
     __slots__ = (
@@ -172,6 +174,7 @@
         'children',
         'failed_onward',
         'had_onward_failure',
+        'leaving_services',
         'may_retry',
         'missing_services',
         'slot',
@@ -188,6 +191,7 @@
         self.had_onward_failure = False
         self.may_retry = True
         self.missing_services = set()
+        self.leaving_services = set()
         self.called_services = set()
 
     def begins_chain_to(self, service):
@@ -202,6 +206,7 @@
             self.answered_onward += 1
         else:
             self.missing_services.update(answer.missing_services)
+        self.leaving_services.update(answer.leaving_services)
 
     def record_failure(self, digest, may_retry):
         """Record an onward call that failed."""
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -156,6 +156,7 @@
             answer.status < 500,
             answer.missing_services,
             admitted_ms,
+            answer.leaving_services,
         )
         return answer
 
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -204,6 +204,7 @@
             answer.status < 500,
             answer.missing_services,
             admitted_ms,
+            answer.leaving_services,
         )
         return answer
 
--- a/damasklanding/node/local_backend.py
+++ b/damasklanding/node/local_backend.py
@@ -76,6 +76,8 @@
     :param crashes: :class:`~damasklanding.node.crashes.CrashWatch`.
     :param on_unreachable: called when it takes no connection.
     :param decisions: :class:`~damasklanding.decisions.DecisionLog`, or None.
+    :param is_kept: function that returns whether the backend server leaves
+        and is in use, as the last usable one of its service.
     :ivar draining: whether new work is refused.
     """
 
@@ -92,8 +94,10 @@
         crashes,
         on_unreachable=_nothing,
         decisions=None,
+        is_kept=_nothing,
     ):
         self.draining = False
+        self._is_kept = is_kept
         self._settings = settings
         self._service = service
         self._view = view
@@ -138,6 +142,9 @@
         self._count(call, 'ok' if answer.status < 500 else 'failed')
         answer.retries_left = call.allowance.left
         answer.missing_services = running.missing_services
+        answer.leaving_services = running.leaving_services
+        if self._is_kept():
+            answer.leaving_services.add(call.service)
         answer.bottleneck = narrower(
             call.bottleneck, (call.service, self._gate.admission_level())
         )
--- a/damasklanding/node/peers.py
+++ b/damasklanding/node/peers.py
@@ -209,6 +209,7 @@
         retry_after_ms=message.retry_after_ms,
         load=message.load,
         missing_services=message.missing_services,
+        leaving_services=message.leaving_services,
         bottleneck=message.bottleneck,
     )
 
--- a/damasklanding/node/peerserver.py
+++ b/damasklanding/node/peerserver.py
@@ -182,6 +182,7 @@
             load=self._load(),
             missing_services=tuple(answer.missing_services),
             bottleneck=answer.bottleneck,
+            leaving_services=tuple(answer.leaving_services),
         )
 
     def _problem(self, error, call):
--- a/damasklanding/policy/dependencies.py
+++ b/damasklanding/policy/dependencies.py
@@ -19,6 +19,9 @@
 #: The same for a kind of which no request has been answered yet, while a
 #: service is known to have no usable backend server.
 MIN_FIRST_FAILURES_IN_ROW = 3
+#: Answered requests of one kind in a row that must have called a service
+#: before the kind counts as one that needs it.
+MIN_NEEDS_IN_ROW = 3
 #: Time between the first requests of such a kind that are admitted.
 FIRST_INTERVAL_MS = 250.0
 FIRST_RETRY_AFTER_MS = 500
@@ -96,6 +99,8 @@
         self._on_change = on_change
         self._empty_services = empty_services
         self._kinds = {}
+        self._needs = {}
+        self._had_backend = set()
         self._answered = set()
         self._next_first_ms = {}
 
@@ -105,6 +110,8 @@
 
         :raises Unavailable: the request is refused and has not been run.
         """
+        if self._needs:
+            self._refuse_without_needs(service, profile)
         kind = self._kinds.get((service, profile))
         if kind is None:
             if (service, profile) not in self._answered:
@@ -134,7 +141,9 @@
             retry_after_ms=RETRY_AFTER_MS,
         )
 
-    def note(self, service, profile, succeeded, missing, admitted_ms):
+    def note(
+        self, service, profile, succeeded, missing, admitted_ms, leaving=()
+    ):
         """
         Record the end of an admitted request.
 
@@ -146,7 +155,12 @@
         :param missing: names of the services without a backend server that
             its call chain needed.
         :param admitted_ms: time at which the request was admitted.
+        :param leaving: names of the services that its call chain called and
+            whose last usable backend server leaves.
         """
+        if succeeded and (leaving or self._needs):
+            # A request to the service itself makes one call of it.
+            self._note_needs((service, profile), set(leaving) - {service})
         kind = self._kinds.get((service, profile))
         if succeeded:
             self._answered.add((service, profile))
@@ -159,6 +173,38 @@
         elif missing:
             self._note_failure(service, profile, frozenset(missing))
 
+    def _note_needs(self, key, leaving):
+        """Count in a row the answered requests that called a service."""
+        needs = self._needs.pop(key, {})
+        if not leaving:
+            return
+        for name in leaving - needs.keys():
+            self._watch_service(name)
+        self._needs[key] = {name: needs.get(name, 0) + 1 for name in leaving}
+
+    def _refuse_without_needs(self, service, profile):
+        """
+        Refuse a kind that needs a service whose last server has left.
+
+        Its answers said so while the server was still in use, so that no
+        request has to fail first.
+        """
+        key = (service, profile)
+        missing = set()
+        for name, answered in self._needs.get(key, {}).items():
+            if self._has_backend(name):
+                self._had_backend.add(name)
+            elif name in self._had_backend and answered >= MIN_NEEDS_IN_ROW:
+                missing.add(name)
+        if not missing:
+            return
+        kind = self._kinds.get(key)
+        if kind is None:
+            kind = self._kinds[key] = _Kind(self._now_ms())
+        if not kind.is_refused:
+            kind.missing = frozenset(missing)
+            kind.failures_in_row = MIN_FAILURES_IN_ROW
+
     def _note_failure(self, service, profile, missing):
         kind = self._kinds.get((service, profile))
         if kind is None:
--- a/tests/test_dependencies.py
+++ b/tests/test_dependencies.py
@@ -7,6 +7,7 @@
 from damasklanding.policy.dependencies import MAX_PROBE_INTERVAL_MS
 from damasklanding.policy.dependencies import MIN_FAILURES_IN_ROW
 from damasklanding.policy.dependencies import MIN_FIRST_FAILURES_IN_ROW
+from damasklanding.policy.dependencies import MIN_NEEDS_IN_ROW
 from damasklanding.policy.dependencies import DependencyCheck
 
 
@@ -42,10 +43,10 @@
         for _ in range(count):
             self.check.note('desk', profile, False, {'ledger'}, self.now_ms)
 
-    def succeed(self, profile='view', admitted_ms=None):
+    def succeed(self, profile='view', admitted_ms=None, leaving=()):
         if admitted_ms is None:
             admitted_ms = self.now_ms
-        self.check.note('desk', profile, True, (), admitted_ms)
+        self.check.note('desk', profile, True, (), admitted_ms, leaving)
 
 
 @pytest.fixture
@@ -180,3 +181,48 @@
     fixture.empty = ('ledger',)
     fixture.fail(MIN_FIRST_FAILURES_IN_ROW)
     assert all(fixture.admits() for _ in range(100))
+
+
+def test_no_request_has_to_fail_after_the_last_server_was_seen_to_leave(
+    fixture,
+):
+    fixture.available.add('ledger')
+    for _ in range(MIN_NEEDS_IN_ROW):
+        assert fixture.admits()
+        fixture.succeed(leaving={'ledger'})
+    assert fixture.watched == ['ledger']
+    assert fixture.admits()
+    fixture.available.clear()
+    assert not fixture.admits()
+    assert fixture.admits('register')
+    assert fixture.changes == [('desk', 'view', frozenset({'ledger'}), True)]
+
+
+def test_kind_of_which_only_some_requests_need_a_service_is_admitted(fixture):
+    fixture.available.add('ledger')
+    for _ in range(3 * MIN_NEEDS_IN_ROW):
+        fixture.succeed(leaving={'ledger'})
+        fixture.succeed()
+        assert fixture.admits()
+    fixture.available.clear()
+    assert fixture.admits()
+
+
+def test_service_whose_servers_are_not_known_yet_refuses_nothing(fixture):
+    for _ in range(MIN_NEEDS_IN_ROW):
+        fixture.succeed(leaving={'ledger'})
+    assert fixture.admits()
+
+
+def test_kind_is_admitted_again_when_its_needed_service_returns(fixture):
+    fixture.available.add('ledger')
+    for _ in range(MIN_NEEDS_IN_ROW):
+        fixture.succeed(leaving={'ledger'})
+    assert fixture.admits()
+    fixture.available.clear()
+    assert not fixture.admits()
+    fixture.available.add('ledger')
+    assert fixture.admits()
+    fixture.succeed()
+    fixture.available.clear()
+    assert fixture.admits()
--- a/tests/test_last_server.py
+++ b/tests/test_last_server.py
@@ -7,6 +7,7 @@
 
 import gevent
 from platform_fleet import ANNOUNCE_PORT
+from platform_fleet import CALLER_PORT
 from platform_fleet import PlatformFleet
 from platform_fleet import eventually
 from platform_fleet import platform_fleet
@@ -97,7 +98,8 @@
 class Callers:
     """Callers that ask for the ledger at the desks all the while."""
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, path='/once/1'):
+        self.path = path
         self.answers = []
         self.greenlet = gevent.spawn(self._run, fleet)
 
@@ -111,7 +113,7 @@
     def _ask(self, fleet, index):
         asked_s = time.monotonic()
         status = fleet.request(
-            index % 2, '/once/1', request_id=f'{index}x', method='POST'
+            index % 2, self.path, request_id=f'{index}x', method='POST'
         )[0]
         self.answers.append((asked_s, status))
 
@@ -226,3 +228,43 @@
     assert fleet.request(0, '/once/1', request_id='after')[0] == 503
     assert len(arrivals_s) == before
     leaver.greenlet.join()
+
+
+def calling_ledger(fleet, number):
+    """Return the work of a desk that needs three calls to the ledger."""
+
+    def work(head):
+        for index in range(3):
+            headers = {
+                'Host': 'h.example',
+                'Damasklanding-Attempt-Id': (
+                    f'{head["damasklanding-attempt-id"]}.{index}'
+                ),
+                'Damasklanding-Deadline-Ms': '1000',
+            }
+            ip = fleet.nodes[number]
+            answer = fleet.call(
+                ip, CALLER_PORT, 'GET', '/inner/1', headers=headers
+            )
+            if answer[0] != 200:
+                return '500 Internal Server Error'
+        return None
+
+    return work
+
+
+def test_chains_do_not_fail_where_the_last_server_has_left(fleet):
+    leave_one_ledger(fleet)
+    for number in (0, 1):
+        fleet.backends[number].work = calling_ledger(fleet, number)
+    callers = Callers(fleet, '/desk/1')
+    gevent.sleep(1.0)
+    leaver = let_leave(fleet, LEDGERS[1])
+    leaver.greenlet.join()
+    gevent.sleep(1.0)
+    callers.greenlet.kill()
+    statuses = callers.statuses(leaver.said_s, time.monotonic())
+    assert statuses.count(200) >= 0.5 * CONFIRM_S / 0.02
+    assert statuses.count(503) >= 0.5 / 0.02
+    # Each of the two entries lets a probe through now and then.
+    assert statuses.count(500) <= 4
