--- a/damasklanding/node/presence.py
+++ b/damasklanding/node/presence.py
@@ -110,6 +110,7 @@
         self._latest = None
         self._left = False
         self._departure = None
+        self._announced_stage = ''
         self._suspects = deque(maxlen=MAX_SUSPECTS)
         self._logged_state = None
         self._log = CappedLog(now_ms)
@@ -218,11 +219,12 @@
 
     def _follow(self, departure):
         """Announce the stages of a departure until it is over."""
-        while self._departure is departure and not departure.is_over():
-            self._announce_latest('its departure')
+        while self._departure is departure:
+            if departure.stage() != self._announced_stage:
+                self._announce_latest('its departure')
+            if departure.is_over():
+                return
             gevent.sleep(FOLLOW_MS / 1000)
-        if self._departure is departure:
-            self._announce_latest('its departure')
 
     def _require_confirmation(self):
         """
@@ -241,6 +243,7 @@
         report = self._latest
         departure = self._departure
         stage = '' if departure is None else departure.stage()
+        self._announced_stage = stage
         cold = report.cold_for_ms > 0
         if stage == GONE:
             state, text = 'draining', 'leaving' if self._left else 'draining'
--- a/tests/test_presence.py
+++ b/tests/test_presence.py
@@ -1,11 +1,14 @@
 import contextlib
 import dataclasses
 
+import gevent
 import pytest
 
 from damasklanding.errors import BadInput
+from damasklanding.errors import DepartureDeferred
 from damasklanding.logs import CappedLog
 from damasklanding.logs import configure_logs
+from damasklanding.node.departure import LeaveBounds
 from damasklanding.node.presence import BackendPresence
 from damasklanding.node.presence import BackendReport
 
@@ -212,3 +215,135 @@
     presence.record_departure('i-1')
     assert 'draining' in lines[-2]
     assert '2350 ms after its report that it drains' in lines[-1]
+
+
+BOUNDS = LeaveBounds(
+    confirm_ms=4_000, drain_ms=2_000, report_interval_ms=1_500
+)
+
+
+class LastServer:
+    """The last backend server of a service, on a clock of its own."""
+
+    def __init__(self, announced):
+        self.announced = announced
+        self.now_ms = 10_000.0
+        self.is_last = True
+        self.presence = BackendPresence(
+            '10.0.0.1:80',
+            announced.append,
+            now_ms=lambda: self.now_ms,
+            bounds=BOUNDS,
+            is_last=lambda: self.is_last,
+        )
+        self.presence.handle_report(REPORT)
+
+    def state(self):
+        latest = self.announced[-1]
+        return latest.state, latest.departure
+
+    def pass_ms(self, duration_ms):
+        """Let time pass, and let the stages be followed."""
+        self.now_ms += duration_ms
+        gevent.sleep(0.12)
+
+    def drain(self, sequence=5):
+        """Report that it drains; return whether that is confirmed."""
+        try:
+            self.presence.handle_report(
+                but(in_service=False, sequence=sequence)
+            )
+        except DepartureDeferred:
+            return False
+        return True
+
+    def delete(self):
+        try:
+            self.presence.record_departure('i-1')
+        except DepartureDeferred:
+            return False
+        return True
+
+
+@pytest.fixture()
+def last(announced):
+    return LastServer(announced)
+
+
+def test_last_server_stays_in_until_it_is_confirmed_and_for_a_while(last):
+    assert not last.drain()
+    assert last.state() == ('in', 'kept')
+    last.pass_ms(2_500)
+    assert last.drain(6)
+    assert last.state() == ('in', 'kept')
+    last.pass_ms(1_000)
+    assert last.state() == ('in', 'ending')
+    last.pass_ms(500)
+    assert last.state() == ('draining', '')
+
+
+def test_no_answer_confirms_a_departure_before_its_time(last):
+    assert not last.drain(5)
+    assert not last.drain(5)
+    assert not last.drain(4)
+    last.presence.handle_report(REPORT)
+    assert last.state() == ('in', 'kept')
+
+
+def test_last_server_that_sends_its_departure_first_is_kept_as_long(last):
+    assert not last.delete()
+    assert last.state() == ('in', 'kept')
+    last.presence.handle_report(but(sequence=6))
+    assert not last.drain(7)
+    last.pass_ms(2_500)
+    assert last.delete()
+    assert last.state() == ('in', 'kept')
+    last.pass_ms(1_600)
+    assert last.state() == ('draining', '')
+
+
+def test_last_server_that_exits_unconfirmed_gets_nothing_more(last):
+    assert not last.drain()
+    assert last.delete()
+    assert last.state() == ('draining', '')
+
+
+def test_departure_that_is_taken_back_leaves_nothing_behind(last):
+    assert not last.drain(5)
+    last.presence.handle_report(but(sequence=6))
+    assert last.state() == ('in', '')
+    last.pass_ms(5_000)
+    assert last.state() == ('in', '')
+
+
+def test_new_start_under_the_same_id_ends_the_departure(last):
+    assert not last.drain(5)
+    last.presence.handle_report(but(started_at_ms=2_000, sequence=1))
+    assert last.state() == ('in', '')
+    last.pass_ms(5_000)
+    assert last.state() == ('in', '')
+
+
+def test_stages_are_announced_once_each(last):
+    assert not last.drain()
+    for _ in range(3):
+        last.pass_ms(10)
+    assert [a.departure for a in last.announced] == ['', 'kept']
+
+
+def test_usable_server_ends_the_wait_between_two_reports(last):
+    assert not last.drain()
+    last.is_last = False
+    last.pass_ms(10)
+    assert last.state() == ('draining', '')
+    assert last.drain(6)
+
+
+def test_kept_server_is_named_with_the_time_left(last):
+    assert last.presence.kept_server() is None
+    assert not last.drain()
+    last.pass_ms(1_000)
+    kept = last.presence.kept_server()
+    assert (kept.service, kept.instance) == ('desk', 'i-1')
+    assert not kept.is_confirmed
+    assert kept.left_ms == 3_000
