--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -415,9 +415,12 @@
 
     def stop(self, drain_timeout_ms):
         """Leave the fleet, let running requests end, then stop."""
+        is_needed = not self.gate.draining and self.is_last_server()
         self.leaving = True
-        self.registration.leave()
+        if not is_needed:
+            self.registration.leave()
         drain_ms, handover_ms = self.interface.leave(self, drain_timeout_ms)
+        self.registration.leave()
         started_ms = monotonic_ms()
         handover = gevent.spawn(self.owner.drain, handover_ms)
         self.node.drain(drain_ms)
--- a/tests/test_last_server.py
+++ b/tests/test_last_server.py
@@ -3,6 +3,7 @@
 """
 
 import json
+import signal
 import time
 
 import gevent
@@ -13,6 +14,8 @@
 from platform_fleet import platform_fleet
 import pytest
 
+from damasklanding.interfaces import LEAVE_SHARE
+
 SERVICES = ('desk', 'desk', 'ledger', 'ledger')
 LEDGERS = (2, 3)
 CONFIRM_S = 4.0
@@ -268,3 +271,20 @@
     assert statuses.count(503) >= 0.5 / 0.02
     # Each of the two entries lets a probe through now and then.
     assert statuses.count(500) <= 4
+
+
+def test_last_server_serves_on_while_callers_leave_its_stopping_node(fleet):
+    leave_one_ledger(fleet)
+    callers = Callers(fleet)
+    gevent.sleep(0.5)
+    process = fleet.processes[fleet.nodes[LEDGERS[1]]]
+    stopped_s = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    eventually(lambda: process.poll() is not None, fleet.grace_s)
+    callers.greenlet.kill()
+    gevent.sleep(0.3)
+    leave_s = LEAVE_SHARE * fleet.grace_s
+    served = callers.statuses(stopped_s, stopped_s + leave_s - 0.1)
+    assert set(served) == {200}
+    rest = callers.statuses(stopped_s, time.monotonic())
+    assert set(rest) <= {200, 503}
