--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -417,6 +417,7 @@
         """Leave the fleet, let running requests end, then stop."""
         is_needed = not self.gate.draining and self.is_last_server()
         self.leaving = True
+        # The last server of a service is used until the callers have left.
         if not is_needed:
             self.registration.leave()
         drain_ms, handover_ms = self.interface.leave(self, drain_timeout_ms)
--- a/damasklanding/node/departure.py
+++ b/damasklanding/node/departure.py
@@ -67,10 +67,14 @@
 
         :return: whether the answer to it confirms the departure.
         """
-        if self._confirmed_ms is None:
-            if self._can_wait_for_next_report():
-                return False
-            self._confirmed_ms = self._now_ms()
+        if self._confirmed_ms is not None:
+            return True
+        if self.is_over():
+            # Its time does not begin anew with a late confirmation.
+            self._may_wait = False
+        elif self._next_report_is_in_time() and self._is_last():
+            return False
+        self._confirmed_ms = self._now_ms()
         return True
 
     def is_confirmed(self):
@@ -104,9 +108,6 @@
             )
         return max(0.0, ends_ms - self._now_ms())
 
-    def _can_wait_for_next_report(self):
-        if self.is_over():
-            self._may_wait = False
-            return False
+    def _next_report_is_in_time(self):
         next_report_ms = self._bounds.report_interval_ms + REPORT_DELAY_MS
-        return next_report_ms < self.left_ms() and self._is_last()
+        return next_report_ms < self.left_ms()
