--- a/tests/test_last_server.py
+++ b/tests/test_last_server.py
@@ -18,6 +18,7 @@
 
 SERVICES = ('desk', 'desk', 'ledger', 'ledger')
 LEDGERS = (2, 3)
+OPERATIONS_PORT = 17_006
 CONFIRM_S = 4.0
 DRAIN_S = 2.0
 REPORT_S = 0.5
@@ -40,11 +41,17 @@
         self.leaving = set()
 
     def _settings(self, ip):
-        extra = [] if ip in self.control else BOUNDS.items()
+        extra = {} if ip in self.control else dict(BOUNDS)
+        extra['OPERATIONS_ADDRESS'] = f'{ip}:{OPERATIONS_PORT}'
         return super()._settings(ip) + [
-            f'DAMASKLANDING_{name}={value}' for name, value in extra
+            f'DAMASKLANDING_{name}={value}' for name, value in extra.items()
         ]
 
+    def ask_operations(self, number, path):
+        """Return the answer of a node's listener for operators."""
+        ip = self.nodes[number]
+        return self.call(ip, OPERATIONS_PORT, 'GET', path)[2].decode()
+
 
 class Leaver:
     """
@@ -199,6 +206,24 @@
         assert arrivals_s[-1] <= leaver.confirmed_s + DRAIN_S
 
 
+def test_operators_see_which_server_is_kept_and_for_how_long(fleet):
+    leave_one_ledger(fleet)
+    number = LEDGERS[1]
+    assert 'last_servers_kept 0' in fleet.ask_operations(number, '/metrics')
+    leaver = let_leave(fleet, number)
+    gevent.sleep(0.6)
+    status = json.loads(fleet.ask_operations(number, '/status'))
+    kept_server = status['roles'][0]['kept_server']
+    assert kept_server['service'] == 'ledger'
+    assert kept_server['instance'] == fleet.backends[number].instance
+    assert not kept_server['is_confirmed']
+    assert 2_500 <= kept_server['left_ms'] <= 3_600
+    assert 'last_servers_kept 1' in fleet.ask_operations(number, '/metrics')
+    leaver.greenlet.join()
+    status = json.loads(fleet.ask_operations(number, '/status'))
+    assert status['roles'][0]['kept_server'] is None
+
+
 def test_return_of_another_server_ends_the_wait(fleet):
     leave_one_ledger(fleet)
     leaver = let_leave(fleet, LEDGERS[1])
