--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -417,7 +417,8 @@
         """Leave the fleet, let running requests end, then stop."""
         is_needed = not self.gate.draining and self.is_last_server()
         self.leaving = True
-        # The last server of a service is used until the callers have left.
+        # The last backend server of a service stays in use until the callers
+        # of this node have left.
         if not is_needed:
             self.registration.leave()
         drain_ms, handover_ms = self.interface.leave(self, drain_timeout_ms)
--- a/damasklanding/node/departure.py
+++ b/damasklanding/node/departure.py
@@ -11,18 +11,19 @@
 
 __all__ = ['ENDING', 'GONE', 'KEPT', 'Departure', 'LeaveBounds']
 
-#: Stages of a departure: in use, in use for chains that have begun, and not
-#: in use any more.
+#: Stage in which the leaving backend server takes all calls.
 KEPT = 'kept'
+#: Stage in which the leaving backend server takes no calls that begin a chain.
 ENDING = 'ending'
+#: Stage in which nothing is sent to the leaving backend server.
 GONE = 'gone'
 
-#: How late a report may come after its time.
+#: Delay that is allowed for each report of the backend server.
 REPORT_DELAY_MS = 500.0
-#: Last part of the time after the confirmation, in which calls that were sent
-#: before end.
+#: Time between the last call to the backend server and its earliest exit, in
+#: which that call can end.
 END_MARGIN_MS = 500.0
-#: Time before that in which only chains that have begun are served.
+#: Length of the stage ``ENDING``, in which chains that have begun can end.
 LAST_CALLS_MS = 700.0
 
 
@@ -70,7 +71,7 @@
         if self._confirmed_ms is not None:
             return True
         if self.is_over():
-            # Its time does not begin anew with a late confirmation.
+            # A confirmation after the bound gives no further time in use.
             self._may_wait = False
         elif self._next_report_is_in_time() and self._is_last():
             return False
--- a/damasklanding/node/presence.py
+++ b/damasklanding/node/presence.py
@@ -26,7 +26,7 @@
 __all__ = ['BackendPresence', 'BackendReport', 'KeptServer']
 
 NO_BOUNDS = LeaveBounds()
-#: Time between two looks at the stage of a departure.
+#: Time between two checks for a new stage of a departure.
 FOLLOW_MS = 50
 
 #: A start that lies further ahead of this host's clock is not believed.
@@ -188,7 +188,7 @@
         if departure is None:
             self._begin_departure(latest.in_service and not self._left)
         elif not self._left:
-            # Its reports have said so before: it exits with this one.
+            # A DELETE that follows reports of draining comes with the exit.
             departure.end()
         self._left = True
         self._announce_latest(f'a departure of {instance}')
--- a/damasklanding/policy/dependencies.py
+++ b/damasklanding/policy/dependencies.py
@@ -19,8 +19,8 @@
 #: The same for a kind of which no request has been answered yet, while a
 #: service is known to have no usable backend server.
 MIN_FIRST_FAILURES_IN_ROW = 3
-#: Answered requests of one kind in a row that must have called a service
-#: before the kind counts as one that needs it.
+#: Number of consecutive answered requests of one kind which all have called a
+#: service, from which on the kind is known to need that service.
 MIN_NEEDS_IN_ROW = 3
 #: Time between the first requests of such a kind that are admitted.
 FIRST_INTERVAL_MS = 250.0
@@ -159,7 +159,7 @@
             whose last usable backend server leaves.
         """
         if succeeded and (leaving or self._needs):
-            # A request to the service itself makes one call of it.
+            # A request to the leaving service itself begins no chain.
             self._note_needs((service, profile), set(leaving) - {service})
         kind = self._kinds.get((service, profile))
         if succeeded:
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -1,3 +1,5 @@
+from hypothesis import given
+from hypothesis import strategies as st
 import pytest
 
 from damasklanding.node.departure import END_MARGIN_MS
@@ -109,3 +111,32 @@
     server.departure.end()
     assert server.departure.stage() == GONE
     assert server.departure.confirm()
+
+
+STEPS = st.lists(
+    st.sampled_from(('confirm', 'end', 'last', 10, 500, 1_500, 3_000)),
+    max_size=20,
+)
+
+
+@given(STEPS)
+def test_questions_about_a_departure_change_nothing(steps):
+    asked, unasked = Server(), Server()
+    for step in steps:
+        asked.departure.stage()
+        asked.departure.is_over()
+        asked.departure.is_confirmed()
+        asked.departure.left_ms()
+        for server in (asked, unasked):
+            if step == 'last':
+                server.is_last = not server.is_last
+            elif isinstance(step, int):
+                server.now_ms += step
+        if step in ('confirm', 'end'):
+            answers = [
+                getattr(server.departure, step)()
+                for server in (asked, unasked)
+            ]
+            assert answers[0] == answers[1]
+    assert asked.departure.stage() == unasked.departure.stage()
+    assert asked.departure.left_ms() == unasked.departure.left_ms()
