--- a/review/11/case.py
+++ b/review/11/case.py
@@ -8,133 +8,26 @@
 operator reads the desired state back.
 """
 
-import json
 import os
 import signal
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
-from fleet3.fleet import MEMORY_MB  # noqa: E402
 from fleet3.fleet import Fleet  # noqa: E402
 from fleet3.fleet import Operator  # noqa: E402
 from fleet3.fleet import Record  # noqa: E402
 from fleet3.fleet import main_guard  # noqa: E402
+from fleet3.growth import DOWN_S  # noqa: E402
+from fleet3.growth import Platform  # noqa: E402
+from fleet3.growth import desired_state  # noqa: E402
 
 FIRST_ROUTES = 40
 BIG_CONFIGS = 4
 ROUTES_OF_BIG_CONFIG = 410
 CHANGES = 450
-DOWN_S = 0.5
 RECOVERY_S = 15.0  # bound `recovery`; the read back goes on for twice that
-SERVICES = ('balance-desk', 'plan-office', 'letter-archive', 'call-ledger')
-TENANTS = 8
-
-
-def desired_state(version, base, routes, change):
-    """Return a desired state; a change moves the timeout of one route."""
-    rules = [
-        {
-            'name': f'r-{number:06x}',
-            'routeType': 'idempotent',
-            'targetLatency': '1500ms',
-            'priority': 2,
-            'public': False,
-            'match': {'pathPrefix': f'/leny{number * 7919:06x}/'},
-            'action': {
-                'service': SERVICES[number % len(SERVICES)],
-                'timeout': f'{4000 + change % 900 if not number else 5000}ms',
-                'maxAttempts': 2,
-            },
-        }
-        for number in range(routes)
-    ]
-    document = {
-        'version': f'{version:08x}',
-        'baseVersion': f'{base:08x}',
-        'limits': {
-            'maxHeaderBytes': 16384,
-            'maxBodyBytes': 67108864,
-            'headerTimeout': '3000ms',
-            'idleTimeout': '15000ms',
-        },
-        'tenants': [
-            {
-                'name': f'pulo{number:03d}',
-                'apiKeys': [f'6wsjnbanfqasnmg{number:05d}'],
-                'priority': 1,
-                'ratePerS': 77,
-                'burst': 77,
-            }
-            for number in range(TENANTS)
-        ],
-        'listeners': [{'host': 'hulo84.example', 'rules': rules}],
-        'clusters': [
-            {
-                'name': name,
-                'healthPath': '/healthz',
-                'maxConnections': 994,
-                'protocol': 'h1',
-                'tls': False,
-                'warmup': '3s',
-                'warmupPerS': 33.0,
-            }
-            for name in SERVICES
-        ],
-    }
-    return json.dumps(document, separators=(',', ':')).encode()
-
-
-class Platform:
-    """Kills a process over its memory and starts those that have ended."""
-
-    def __init__(self, fleet, record):
-        self._fleet = fleet
-        self._record = record
-        self._paused = threading.Event()
-        self._ended = threading.Event()
-        self.kills = dict.fromkeys((core.name for core in fleet.cores), 0)
-        self.peaks = dict(self.kills)
-        self._thread = threading.Thread(target=self._run, daemon=True)
-        self._thread.start()
-
-    def pause(self):
-        """Leave the processes alone."""
-        self._paused.set()
-        time.sleep(0.1)
-
-    def resume(self):
-        """Watch the processes again."""
-        self._paused.clear()
-
-    def stop(self):
-        """Leave the processes alone for good."""
-        self._ended.set()
-        self._thread.join()
-
-    def _run(self):
-        due = {}
-        while not self._ended.wait(0.01):
-            if self._paused.is_set():
-                continue
-            for core in self._fleet.cores:
-                if core.child.poll() is not None:
-                    now = time.monotonic()
-                    if due.setdefault(core.name, now + DOWN_S) <= now:
-                        del due[core.name]
-                        core.start()
-                    continue
-                used_mb = core.memory_mb()
-                self.peaks[core.name] = max(self.peaks[core.name], used_mb)
-                if used_mb > MEMORY_MB:
-                    self.kills[core.name] += 1
-                    self._record.write(
-                        f'{core.name} uses {used_mb:.0f} MB of {MEMORY_MB}, '
-                        f'kill {self.kills[core.name]}'
-                    )
-                    core.kill()
 
 
 def run():
