--- a/review/fleet3/servers.py
+++ b/review/fleet3/servers.py
@@ -63,6 +63,10 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def stop_announcing(self):
+        """Send no more announcements."""
+        self._beats.cancel()
+
     def report(self):
         """Return the body of an announcement."""
         self.sequence += 1
