--- a/review/fleet3/growth.py
+++ b/review/fleet3/growth.py
@@ -11,12 +11,14 @@
 TENANTS = 8
 
 
-def desired_state(version, base, routes, change, moved=1):
+def desired_state(version, base, routes, change, moved=1, split=False):
     """
     Return a desired state.
 
     :param change: number of the change, from which time-outs follow.
     :param moved: how many routes have their time-out changed.
+    :param split: whether each route is split over all services, and has a
+        target latency of its own.
     """
     timeout_ms = 4000 + change % 900
     rules = [
@@ -35,6 +37,13 @@
         }
         for number in range(routes)
     ]
+    if split:
+        for number, rule in enumerate(rules):
+            rule['targetLatency'] = f'{1000 + number}ms'
+            del rule['action']['service']
+            rule['action']['weightedServices'] = [
+                {'service': name, 'weight': 1} for name in SERVICES
+            ]
     document = {
         'version': f'{version:08x}',
         'baseVersion': f'{base:08x}',
