--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,7 +1,7 @@
 """
 Case 14: a server that has left is in use again after its node restarted.
 
-One of two servers of a service takes itself out with DELETE, which is
+One of ten servers of a service takes itself out with DELETE, which is
 confirmed, and serves on for some seconds, as the pages allow.  The node
 beside it is killed and started again.  Then a ping that the server had sent
 before it left arrives, seconds late.  Without the trouble the node is not
@@ -30,6 +30,7 @@
 KEY = '6wsjnbanfqasnmgkcuyj'
 WORK_S = 0.16
 RATE_PER_S = 40
+NODES = 10
 DRAIN_S = 2.0  # bound `drain`
 TOUCH_S = 3.0  # bound `stableWindow`
 KILL_AFTER_S = 0.3  # the confirmation
@@ -137,14 +138,14 @@
     )
     if status != 200:
         raise RuntimeError(f'the desired state: {status}')
-    near, far = fleet.sides
+    near = fleet.sides[0]
     leaving = Server(fleet, near, SERVICE, 'leaving', work_s=WORK_S)
-    staying = Server(fleet, far, SERVICE, 'staying', work_s=WORK_S)
-    for server in (leaving, staying):
-        await server.start()
+    await leaving.start()
+    for side in fleet.sides[1:]:
+        await Server(fleet, side, SERVICE, side.name, work_s=WORK_S).start()
     load = Load(
         record,
-        [side.fields['bindAddresses']['outbound'] for side in fleet.sides],
+        [side.fields['bindAddresses']['outbound'] for side in fleet.sides[:2]],
     )
     sending = asyncio.create_task(load.run(time.monotonic() + 6 + END_S))
     await asyncio.sleep(6)
@@ -182,7 +183,7 @@
     folder = os.path.dirname(os.path.abspath(__file__))
     record = Record(os.path.join(folder, 'record.txt'))
     trouble = os.environ.get('TROUBLE', '1') != '0'
-    fleet = Fleet(record, core=3, services=(SERVICE,) * 2, first='127.64')
+    fleet = Fleet(record, core=3, services=(SERVICE,) * NODES, first='127.64')
     try:
         late, answers = asyncio.run(play(fleet, record, trouble))
     finally:
