--- a/review/fleet3/fleet.py
+++ b/review/fleet3/fleet.py
@@ -290,6 +290,8 @@
 
 def main_guard(function):
     """Run a case; exit with 2 if it could not run."""
+    # Ended from outside, it still ends all that it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         sys.exit(function())
     except Exception as error:  # noqa: BLE001
