Chunked bodies are read into one buffer

What callers saw: a node or a control host that ended for lack of memory. Cause: each chunk of a body became an object of its own until the part that was asked for had come, 64 KiB or, of callers, a byte more. Chunks of two bytes took 24 times their size, and bodies that stop short of their end kept it. Why it works: the part grows in one buffer, so that it takes its own size and what the buffer reserves. Ruled out: the lines of chunks and trailers, whose size was bounded already.

--- a/damasklanding/node/requestbody.py
+++ b/damasklanding/node/requestbody.py
@@ -29,7 +29,9 @@
 
     def _chunked_read(self, length=None, use_readline=False):
         self._send_100_continue()
-        parts = []
+        # Objects of their own for the parts could take far more memory than
+        # the parts: a chunk may hold a single byte.
+        data = bytearray()
         try:
             while length != 0 and self.chunk_length != 0:
                 if self.position >= self.chunk_length:
@@ -39,11 +41,11 @@
                 if length is not None:
                     size = min(size, length)
                     length -= size
-                parts.append(self._read_chunk_part(size))
+                data += self._read_chunk_part(size)
         except OSError:
             self._chunked_input_error = True
             raise
-        return b''.join(parts)
+        return bytes(data)
 
     def _start_chunk(self):
         matched = _CHUNK_LINE(self.rfile.readline(MAX_CHUNK_LINE_BYTES))
