Listeners bound their connections

What callers saw: a node that answered nobody once a crowd had taken all of its descriptors, at any listener, or that ended for lack of memory. Cause: every listener took every connection. Listeners of announcements, readiness, operators and operations never ended a silent one; callers' listener did so after the idle time. A crowd's unfinished requests and unread answers could take 64 KiB and more each. At the bound the connection is closed of a client for which the process has waited longest, and for half a second at least; first of those that have had no answer. Where there is none, the new connection is closed unread, which clients may take for not run. A metric and a line a ten seconds tell of it. In the test the backend servers have 16 slots now and not 50: connections to them stay pooled and are none of the crowd's, and the 32 that are allowed beside the crowd's were meant to cover them. The bounds are as they were.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -10,10 +10,13 @@
 from uuid import uuid4
 
 import gevent
+from loguru import logger
 import msgspec
 
 from damasklanding.clock import monotonic_ms
 from damasklanding.decisions import DecisionLog
+from damasklanding.intake import Intake
+from damasklanding.intake import IntakeLimits
 from damasklanding.interfaces import END_SHARE
 from damasklanding.interfaces import INTERFACES
 from damasklanding.link import Identity
@@ -30,6 +33,7 @@
 
 BEAT_MS = 300
 CLOSE_TIMEOUT_MS = 100  # for requests that need no other process
+CLIENT_LINE_INTERVAL_MS = 10_000
 LEADERLESS_MS = 3_000
 
 
@@ -106,6 +110,25 @@
     return on_change
 
 
+def _client_log(metrics):
+    """Return a function that counts and logs clients that were cut."""
+    next_line_ms = 0.0
+
+    def note(action, bound):
+        nonlocal next_line_ms
+        metrics.add('clients_cut_total', action, bound)
+        now_ms = monotonic_ms()
+        if now_ms >= next_line_ms:
+            next_line_ms = now_ms + CLIENT_LINE_INTERVAL_MS
+            logger.warning(
+                'connections of clients are {}: the bound of {} is reached',
+                action,
+                bound,
+            )
+
+    return note
+
+
 class Daemon:
     """
     One daemon process with the roles of its settings.
@@ -120,6 +143,9 @@
         self.settings = settings
         self.write_line = write_line
         self.metrics = Metrics()
+        self.intake = Intake(
+            IntakeLimits(settings.max_connections), _client_log(self.metrics)
+        )
         self.control = None
         self.node = None
         role = 'control' if 'control' in settings.roles else 'node'
@@ -221,7 +247,9 @@
             settings, daemon.identity, daemon.pool, daemon.metrics
         )
         interface = INTERFACES[settings.interface]
-        self.services = interface.control_services(settings, self.host)
+        self.services = interface.control_services(
+            settings, self.host, daemon.intake
+        )
         self.telemetry = FleetTelemetry()
         self.watch = WatchServer(self.host.view, self.beat)
         self.host.watchers = self.watch.watchers
@@ -230,7 +258,11 @@
         if settings.admin_address:
             self.services.append(
                 _admin_server(
-                    settings, self.host, daemon.metrics, self.telemetry
+                    settings,
+                    self.host,
+                    daemon.metrics,
+                    self.telemetry,
+                    daemon.intake,
                 )
             )
 
@@ -291,6 +323,7 @@
         control = daemon.control
         self.view = control.host.view if control else FleetView()
         self.settings = settings
+        self.intake = daemon.intake
         self._owners = 0
         self._counted_at = None
         self.interface = INTERFACES[settings.interface]
@@ -379,6 +412,7 @@
             decisions=DecisionLog(
                 daemon.write_line, settings.name, monotonic_ms
             ),
+            intake=daemon.intake,
             retry_shares=RetryShares(
                 RetryBound(
                     settings.retry_fleet_ratio,
@@ -578,14 +612,14 @@
             gevent.sleep(BEAT_MS / 1000)
 
 
-def _admin_server(settings, host, metrics, telemetry):
+def _admin_server(settings, host, metrics, telemetry, intake):
     from damasklanding.control.admin import admin_app
     from damasklanding.operators import OperatorTokens
     from damasklanding.wsgi import wsgi_server
 
     tokens = OperatorTokens(settings.operator_tokens_file)
     app = admin_app(host, tokens, metrics, telemetry)
-    return wsgi_server(parse_address(settings.admin_address), app)
+    return wsgi_server(parse_address(settings.admin_address), app, intake)
 
 
 def _operations_server(daemon):
@@ -596,4 +630,4 @@
     if not address:
         return None
     app = operations_app(daemon.metrics, daemon.problem, daemon.status)
-    return wsgi_server(parse_address(address), app)
+    return wsgi_server(parse_address(address), app, daemon.intake)
--- a/damasklanding/interfaces.py
+++ b/damasklanding/interfaces.py
@@ -31,8 +31,8 @@
     """
     The variable parts of a daemon; each is a function.
 
-    :ivar control_services: of settings and control host; services that run
-        beside it.
+    :ivar control_services: of settings, control host and
+        :class:`~damasklanding.intake.Intake`; services that run beside it.
     :ivar dialects: returns those of callers and backend servers, or None.
     :ivar limiter: of a function that returns the cold rate; returns what
         builds the gate's limiter from a clock.
@@ -57,7 +57,7 @@
     leave: object
 
 
-def _own_control_services(_settings, host):
+def _own_control_services(_settings, host, _intake):
     from damasklanding.claims.commands import CLAIMS_GROUP
     from damasklanding.claims.state_machine import ClaimStateMachine
     from damasklanding.claims.ticker import Ticker
@@ -84,12 +84,12 @@
     return drain_timeout_ms, min(drain_timeout_ms, HANDOVER_TIMEOUT_MS)
 
 
-def _platform_control_services(settings, host):
+def _platform_control_services(settings, host, intake):
     from damasklanding.platform.operators import operator_app
     from damasklanding.wsgi import wsgi_server
 
     address = parse_address(settings.operator_address)
-    return [wsgi_server(address, operator_app(host))]
+    return [wsgi_server(address, operator_app(host), intake)]
 
 
 def _platform_dialects():
@@ -150,7 +150,9 @@
         ),
         (settings.readiness_address, readiness_app(role.not_ready)),
     )
-    return [wsgi_server(parse_address(at), app) for at, app in apps]
+    return [
+        wsgi_server(parse_address(at), app, role.intake) for at, app in apps
+    ]
 
 
 def _platform_leave(role, _drain_timeout_ms):
--- a/damasklanding/metrics.py
+++ b/damasklanding/metrics.py
@@ -38,6 +38,10 @@
         'Malformed input by listener',
         ('listener', 'code'),
     ),
+    'clients_cut_total': (
+        'Connections of clients that were closed or refused at a bound',
+        ('action', 'bound'),
+    ),
     'link_events_total': ('Peer connections by event', ('event',)),
     'grants_total': ('Budget grants by result', ('result',)),
     'claims_total': ('At-most-once claims by verdict', ('verdict',)),
--- a/damasklanding/node/assembly.py
+++ b/damasklanding/node/assembly.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from damasklanding.errors import DamasklandingError
+from damasklanding.intake import Intake
 from damasklanding.node.calls import CallTable
 from damasklanding.node.calls import random_token
 from damasklanding.node.crashes import CrashWatch
@@ -134,6 +135,8 @@
         first use.
     :param decisions: :class:`~damasklanding.decisions.DecisionLog`; None
         logs none.
+    :param intake: :class:`~damasklanding.intake.Intake` of the process; None
+        for one of its own.
     :param dialects: pair of
         :class:`~damasklanding.node.dialect.CallerDialect` and
         :class:`~damasklanding.node.dialect.BackendDialect` where callers
@@ -160,10 +163,12 @@
         dialects=None,
         decisions=None,
         retry_shares=None,
+        intake=None,
     ):
         self.service = ''
         self._out = False
         self._settings = settings
+        self._intake = intake or Intake()
         self._gate = gate
         self._announced = None
         self._start = ''
@@ -550,4 +555,6 @@
         def on_bad_input(error):
             self._metrics.add('input_errors_total', name, error.code)
 
-        return Listener(address, part.application, limits, on_bad_input)
+        return Listener(
+            address, part.application, limits, on_bad_input, self._intake
+        )
--- a/damasklanding/node/connections.py
+++ b/damasklanding/node/connections.py
@@ -62,6 +62,7 @@
     :ivar onward: whether its last request was made by the backend server
         beside this node, or the first one, which tells, has yet to come.
     :ivar idle_since_ms: time since which the connection waits for a request.
+    :ivar client: its :class:`~damasklanding.intake.Client`.
     """
 
     busy = False
@@ -70,7 +71,8 @@
     onward = True
     idle_since_ms = 0.0
 
-    def __init__(self, sock, address, server):
+    def __init__(self, sock, address, server, client):
+        self.client = client
         self.socket = sock
         self.client_address = address
         self.server = server
@@ -106,11 +108,13 @@
             self._refuse()
             return None
         self.busy = True
+        self.client.begin()
         try:
             keep_alive = self._serve_request(request)
         finally:
             self.busy = False
             self.onward = request.onward
+            self.client.served = True
         return True if keep_alive else None
 
     def is_idle(self):
@@ -131,7 +135,7 @@
 
     def _read_request(self):
         limits = self.server.limits
-        self.idle_since_ms = monotonic_ms()
+        self.idle_since_ms = self.client.since_ms = monotonic_ms()
         if self._request_is_here():
             self._in_a_row += 1
             if self._in_a_row >= MAX_REQUESTS_IN_A_ROW:
@@ -144,7 +148,9 @@
             if not data:
                 # The listener closes idle connections periodically.  A timer
                 # for each request would cost more.
+                self.client.waiting = True
                 self.disconnect_watcher.wait_readable()
+                self.client.waiting = False
                 data = self.socket.recv(RECEIVE_BYTES)
                 if not data:
                     return None
@@ -152,7 +158,7 @@
             if request is not None:
                 return request
             self._received = b''
-            self._receiver = SocketReader(self.socket, data)
+            self._receiver = SocketReader(self.socket, data, self.client)
             self.rfile = BufferedReader(self._receiver)
         self.socket.settimeout(None)
         head = self.rfile.peek(1)
@@ -306,10 +312,18 @@
         try:
             sent = self.socket.send(data)
             if sent < len(data):
-                self.socket.sendall(memoryview(data)[sent:])
+                self._send_rest(memoryview(data)[sent:])
         except OSError as error:
             raise _CallerGone from error
 
+    def _send_rest(self, data):
+        self.client.begin()
+        self.client.waiting = True
+        try:
+            self.socket.sendall(data)
+        finally:
+            self.client.waiting = False
+
     def _encode_part(self, part):
         if self.request.method == 'HEAD':
             return b''
--- a/damasklanding/node/http.py
+++ b/damasklanding/node/http.py
@@ -14,6 +14,7 @@
 from gevent.pywsgi import format_date_time
 
 from damasklanding.clock import monotonic_ms
+from damasklanding.intake import Intake
 from damasklanding.link import parse_address
 from damasklanding.node.connections import CallerConnection
 from damasklanding.wsgi import accept_waiting
@@ -40,6 +41,8 @@
     :param limits: :class:`Limits`.
     :param on_bad_input: called with the error of each request that is
         malformed or makes the application fail.
+    :param intake: :class:`~damasklanding.intake.Intake` of the process; None
+        for one of its own.
     :ivar draining: while true, each answer closes its connection.
     :ivar ended: whether all further requests are refused.
     """
@@ -48,13 +51,14 @@
     #: find none waiting.
     max_accept = 1
 
-    def __init__(self, address, application, limits, on_bad_input):
+    def __init__(
+        self, address, application, limits, on_bad_input, intake=None
+    ):
         super().__init__(
             parse_address(address),
             application,
             log=None,
             error_log=None,
-            handler_class=CallerConnection,
             backlog=1024,
         )
         self.limits = limits
@@ -62,6 +66,7 @@
         self.draining = False
         self.ended = False
         self.connections = set()
+        self._clients = (intake or Intake()).clients()
         self._date = (0, '')
         self._sweeper = None
 
@@ -99,8 +104,11 @@
 
     def handle(self, sock, address):
         """Serve one connection."""
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle(sock, address)
+        with self._clients.admitted(sock) as client:
+            if client is None:
+                return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            CallerConnection(sock, address, self, client).handle()
 
     def date_line(self):
         """Return the date header and the empty line that ends a head."""
--- a/damasklanding/node/socketreader.py
+++ b/damasklanding/node/socketreader.py
@@ -26,11 +26,15 @@
     the process.
 
     :param prefix: bytes that have been received already; returned first.
+    :param client: :class:`~damasklanding.intake.Client` that sends, None for
+        another process.
+    :ivar client: as given; it may be set later.
     :ivar received_bytes: number of bytes received.
     """
 
-    def __init__(self, sock, prefix=b''):
+    def __init__(self, sock, prefix=b'', client=None):
         self.received_bytes = 0
+        self.client = client
         self._sock = sock
         self._prefix = prefix
         self._check_at_bytes = TURN_BYTES
@@ -55,12 +59,22 @@
         if self.received_bytes >= self._check_at_bytes:
             self._let_others_run()
         try:
-            size = self._sock.recv_into(buffer)
+            size = self._receive(buffer)
         except BlockingIOError:
             return None
         self.received_bytes += size
         return size
 
+    def _receive(self, buffer):
+        client = self.client
+        if client is None:
+            return self._sock.recv_into(buffer)
+        client.waiting = True
+        try:
+            return self._sock.recv_into(buffer)
+        finally:
+            client.waiting = False
+
     def _let_others_run(self):
         self.note_turn()
         timeout_s = self._sock.gettimeout()
--- a/damasklanding/options.py
+++ b/damasklanding/options.py
@@ -354,6 +354,14 @@
         'give 100 to 3600000',
         'MS',
     ),
+    Option(
+        'max_connections',
+        'Most connections of a listener for callers; other listeners may '
+        'have a twentieth.',
+        _whole(8, 1_000_000),
+        'give 8 to 1000000',
+        'COUNT',
+    ),
     Option(
         'interface',
         'What callers, backend servers and operators speak: own or platform.',
--- a/damasklanding/settings.py
+++ b/damasklanding/settings.py
@@ -62,6 +62,7 @@
     max_body_bytes: int = 1_073_741_824
     header_timeout_ms: int = 5_000
     idle_timeout_ms: int = 60_000
+    max_connections: int = 2_500
     interface: str = 'own'
     seed_hosts: tuple[str, ...] = ()
     announce_address: str = ''
--- a/damasklanding/wsgi.py
+++ b/damasklanding/wsgi.py
@@ -17,6 +17,7 @@
 
 from damasklanding.errors import TooLarge
 from damasklanding.errors import Unavailable
+from damasklanding.intake import Intake
 from damasklanding.node.requestbody import RequestBody
 from damasklanding.node.socketreader import SocketReader
 from damasklanding.sockets import peer_has_closed
@@ -39,6 +40,8 @@
 #: Largest size of all bodies that a server holds at a time.
 MAX_HELD_BYTES = 8 * 1024 * 1024
 PART_BYTES = 64 * 1024
+#: Connections of such a server, of those that callers may have.
+CONNECTION_SHARE = 0.05
 #: Bytes of an unread body that are dropped; a longer one ends its connection.
 MAX_DISCARD_BYTES = 64 * 1024
 
@@ -134,18 +137,27 @@
     running = False
 
     def __init__(self, sock, address, server):
-        reader = BufferedReader(SocketReader(sock), RECEIVE_BYTES)
+        self._client = None
+        self._receiver = SocketReader(sock)
+        reader = BufferedReader(self._receiver, RECEIVE_BYTES)
         super().__init__(sock, address, server, reader)
 
     def handle(self):
         """Serve one connection."""
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle()
+        with self.server.clients.admitted(self.socket) as client:
+            if client is None:
+                self.socket.close()
+                return
+            self._client = self._receiver.client = client
+            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            super().handle()
 
     def handle_one_request(self):
         """Serve one request."""
+        self._client.begin()
         try:
             more = super().handle_one_request()
+            self._client.served = True
             body = self.wsgi_input
             return None if body is not None and body.unread else more
         finally:
@@ -187,6 +199,14 @@
         environ[_IS_AWAITED] = self._is_awaited
         return environ
 
+    def _sendall(self, data):
+        self._client.begin()
+        self._client.waiting = True
+        try:
+            super()._sendall(data)
+        finally:
+            self._client.waiting = False
+
     def _is_awaited(self):
         return self.socket is not None and not peer_has_closed(self.socket)
 
@@ -204,6 +224,8 @@
     :ivar running: number of requests that are being read or answered.
     :ivar draining: while true, each answer closes its connection.
     :ivar ended: whether no more requests are served.
+    :ivar clients: its open connections, as
+        :class:`~damasklanding.intake.Clients`.
     :ivar held_bytes: bytes of the bodies that have been read for requests
         which are not answered yet.
     """
@@ -215,6 +237,7 @@
     draining = False
     ended = False
     held_bytes = 0
+    clients = None
 
     def stop(self, timeout=None):
         """Stop accepting, and wait for running requests up to a timeout."""
@@ -248,12 +271,16 @@
     return environ.get(_IS_AWAITED, lambda: True)
 
 
-def wsgi_server(address, app):
+def wsgi_server(address, app, intake=None):
     """
     Return a server that is not started yet.
 
     :param address: pair of IP number and port.
+    :param intake: :class:`~damasklanding.intake.Intake` of the process; None
+        for one of its own.
     """
-    return DrainingServer(
+    server = DrainingServer(
         address, app, handler_class=NoDelayHandler, log=None, error_log=None
     )
+    server.clients = (intake or Intake()).clients(CONNECTION_SHARE)
+    return server
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -36,8 +36,10 @@
     'DAMASKLANDING_HEADER_TIMEOUT_MS': '2000',
 }
 MAX_GROWTH_BYTES = 16 * 1024 * 1024
-#: Connections to other processes that may open during a test.
+#: Connections to other processes that may open during a test, among them one
+#: for each slot of the backend server.
 OTHER_DESCRIPTORS = 32
+SLOTS = 16
 CROWD = 256
 CHUNKING_CROWD = 48  # reading small chunks takes the processor
 ELEMENTS_CROWD = 8  # so many orders are under way at most
@@ -59,6 +61,10 @@
 class LimitedFleet(PlatformFleet):
     """A fleet whose processes have low limits."""
 
+    def __init__(self, folder, services):
+        super().__init__(folder, services)
+        self.slots = [SLOTS] * len(services)
+
     def run(self, ip):
         before = os.environ.copy()
         os.environ.update(LIMITS)
