Documents of operators have a bound of their elements

What callers saw: a control host that ended for lack of memory. Cause: a document of legal size may consist of very many short values. Each takes many times its size when it is decoded and turned into keys, services and routes, and whether the change fits the log is seen only then. Both sides of the bound are in test_documents_up_to_the_bound_are_read. Why it works: what decoding takes is bounded by the number of values. A change of the log has 1 MiB at most, which by reckoning some 5,000 routes (90,000 elements) fill, so no document that could be accepted is refused by it.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -144,7 +144,11 @@
         self.write_line = write_line
         self.metrics = Metrics()
         self.intake = Intake(
-            IntakeLimits(settings.max_connections), _client_log(self.metrics)
+            IntakeLimits(
+                max_connections=settings.max_connections,
+                max_document_elements=settings.max_document_elements,
+            ),
+            _client_log(self.metrics),
         )
         self.control = None
         self.node = None
--- a/damasklanding/intake.py
+++ b/damasklanding/intake.py
@@ -36,9 +36,11 @@
     Limits of all listeners of a process; see the settings.
 
     :ivar max_connections: connections of a listener for callers.
+    :ivar max_document_elements: values in the body of an operator's request.
     """
 
     max_connections: int = 2_500
+    max_document_elements: int = 200_000
 
 
 class Client:
--- a/damasklanding/options.py
+++ b/damasklanding/options.py
@@ -362,6 +362,13 @@
         'give 8 to 1000000',
         'COUNT',
     ),
+    Option(
+        'max_document_elements',
+        'Most values in the document of an operator (control).',
+        _whole(1_000, 100_000_000),
+        'give 1000 to 100000000',
+        'COUNT',
+    ),
     Option(
         'interface',
         'What callers, backend servers and operators speak: own or platform.',
--- a/damasklanding/webapi.py
+++ b/damasklanding/webapi.py
@@ -17,6 +17,7 @@
 from damasklanding.errors import Forbidden
 from damasklanding.errors import NotFound
 from damasklanding.errors import TooLarge
+from damasklanding.wsgi import max_document_elements
 
 __all__ = [
     'bearer_token',
@@ -108,11 +109,12 @@
 
 def request_body(limit_bytes=MAX_DOCUMENT_BYTES):
     """
-    Return the body of the request.
+    Return the body of the request, a JSON document.
 
     Bottle would keep one without a length in a file of any size.
 
-    :raises TooLarge: it is larger than the limit.
+    :raises TooLarge: it is larger than the limit, or has more elements than
+        the server takes.
     :raises BadInput: it ended before its length was reached.
     """
     length = bottle.request.content_length
@@ -123,9 +125,21 @@
         raise TooLarge(f'the body exceeds {limit_bytes} bytes')
     if len(body) < length:
         raise BadInput('the body was cut short')
+    max_elements = max_document_elements(bottle.request.environ)
+    if _count_elements(body) > max_elements:
+        raise TooLarge(f'the body has more than {max_elements} elements')
     return body
 
 
+def _count_elements(document):
+    """
+    Return a bound of the values in a JSON document.
+
+    Each takes many times its size in the document when it is decoded.
+    """
+    return sum(document.count(character) for character in b',[{')
+
+
 def request_id():
     """Return the Request-Id that was sent, or a new one."""
     given = bottle.request.get_header('Request-Id', '')
--- a/damasklanding/wsgi.py
+++ b/damasklanding/wsgi.py
@@ -18,6 +18,7 @@
 from damasklanding.errors import TooLarge
 from damasklanding.errors import Unavailable
 from damasklanding.intake import Intake
+from damasklanding.intake import IntakeLimits
 from damasklanding.node.requestbody import RequestBody
 from damasklanding.node.socketreader import SocketReader
 from damasklanding.sockets import peer_has_closed
@@ -28,10 +29,12 @@
     'NoDelayHandler',
     'accept_waiting',
     'caller_waits',
+    'max_document_elements',
     'wsgi_server',
 ]
 
 _IS_AWAITED = 'damasklanding.is_awaited'
+_MAX_DOCUMENT_ELEMENTS = 'damasklanding.max_document_elements'
 
 DRAIN_POLL_S = 0.01
 RECEIVE_BYTES = 16 * 1024
@@ -197,6 +200,7 @@
             plain.chunked_input,
         )
         environ[_IS_AWAITED] = self._is_awaited
+        environ[_MAX_DOCUMENT_ELEMENTS] = self.server.max_document_elements
         return environ
 
     def _sendall(self, data):
@@ -226,6 +230,7 @@
     :ivar ended: whether no more requests are served.
     :ivar clients: its open connections, as
         :class:`~damasklanding.intake.Clients`.
+    :ivar max_document_elements: most elements of a document that it takes.
     :ivar held_bytes: bytes of the bodies that have been read for requests
         which are not answered yet.
     """
@@ -238,6 +243,7 @@
     ended = False
     held_bytes = 0
     clients = None
+    max_document_elements = IntakeLimits.max_document_elements
 
     def stop(self, timeout=None):
         """Stop accepting, and wait for running requests up to a timeout."""
@@ -271,6 +277,13 @@
     return environ.get(_IS_AWAITED, lambda: True)
 
 
+def max_document_elements(environ):
+    """Return the most elements that the document of a request may have."""
+    return environ.get(
+        _MAX_DOCUMENT_ELEMENTS, IntakeLimits.max_document_elements
+    )
+
+
 def wsgi_server(address, app, intake=None):
     """
     Return a server that is not started yet.
@@ -282,5 +295,7 @@
     server = DrainingServer(
         address, app, handler_class=NoDelayHandler, log=None, error_log=None
     )
-    server.clients = (intake or Intake()).clients(CONNECTION_SHARE)
+    intake = intake or Intake()
+    server.clients = intake.clients(CONNECTION_SHARE)
+    server.max_document_elements = intake.limits.max_document_elements
     return server
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -8,6 +8,7 @@
 
 from contextlib import contextmanager
 from functools import partial
+import json
 import os
 
 from crowds import Process
@@ -20,6 +21,7 @@
 from platform_fleet import OPERATOR_PORT
 from platform_fleet import READY_PORT
 from platform_fleet import PlatformFleet
+from platform_fleet import document
 from platform_fleet import eventually
 from platform_fleet import platform_fleet
 import pytest
@@ -263,6 +265,33 @@
     assert opened <= MAX_CONNECTIONS + OTHER_DESCRIPTORS
 
 
+def document_of(elements):
+    """Return a configuration that counts as so many elements."""
+    made = document(99, 1)
+    made['tenants'][0]['apiKeys'] = [KEY]
+    text = json.dumps(made)
+    found = sum(map(text.count, ',[{'))
+    made['tenants'][0]['apiKeys'] += [
+        f'key-{number}' for number in range(elements - found)
+    ]
+    return made
+
+
+@pytest.mark.parametrize(
+    ('elements', 'status'),
+    [
+        (MAX_DOCUMENT_ELEMENTS, 412),  # its base is no longer the newest
+        (MAX_DOCUMENT_ELEMENTS + 1, 413),
+    ],
+)
+def test_documents_up_to_the_bound_are_read(fleet, elements, status):
+    eventually(
+        lambda: fleet.operator('PUT', '/config', document(2, 1))[0] == 200
+    )
+    change = document_of(elements)
+    assert fleet.operator('PUT', '/config', change)[0] == status
+
+
 @contextmanager
 def long_answers(backend):
     """Let a backend server answer requests below ``/desk/long`` at length."""
