--- a/damasklanding/wsgi.py
+++ b/damasklanding/wsgi.py
@@ -18,6 +18,8 @@
 from damasklanding.errors import TooLarge
 from damasklanding.errors import Unavailable
 from damasklanding.intake import Intake
+from damasklanding.intake import IntakeLimits
+from damasklanding.intake import bound_socket_buffers
 from damasklanding.node.requestbody import RequestBody
 from damasklanding.node.socketreader import SocketReader
 from damasklanding.sockets import peer_has_closed
@@ -28,10 +30,12 @@
     'NoDelayHandler',
     'accept_waiting',
     'caller_waits',
+    'max_document_elements',
     'wsgi_server',
 ]
 
 _IS_AWAITED = 'damasklanding.is_awaited'
+_MAX_DOCUMENT_ELEMENTS = 'damasklanding.max_document_elements'
 
 DRAIN_POLL_S = 0.01
 RECEIVE_BYTES = 16 * 1024
@@ -71,9 +75,10 @@
         the body has not been read.
     """
 
-    def __init__(self, server, reader, length, sock, chunked):
+    def __init__(self, server, client, reader, length, sock, chunked):
         super().__init__(reader, length, sock, chunked)
         self.unread = False
+        self._client = client
         self._server = server
         self._held_bytes = 0
 
@@ -99,8 +104,14 @@
         """Let go of what was read."""
         self._server.held_bytes -= self._held_bytes
         self._held_bytes = 0
+        self._client.release()
 
     def _hold(self, count):
+        try:
+            self._client.hold(count)
+        except Unavailable:
+            self.unread = True
+            raise
         self._held_bytes += count
         self._server.held_bytes += count
         if self._held_bytes > MAX_BODY_BYTES:
@@ -191,12 +202,14 @@
         plain = self.wsgi_input
         self.wsgi_input = environ['wsgi.input'] = _HeldBody(
             self.server,
+            self._client,
             self.rfile,
             plain.content_length,
             plain.socket,
             plain.chunked_input,
         )
         environ[_IS_AWAITED] = self._is_awaited
+        environ[_MAX_DOCUMENT_ELEMENTS] = self.server.max_document_elements
         return environ
 
     def _sendall(self, data):
@@ -226,6 +239,7 @@
     :ivar ended: whether no more requests are served.
     :ivar clients: its open connections, as
         :class:`~damasklanding.intake.Clients`.
+    :ivar max_document_elements: most elements of a document that it takes.
     :ivar held_bytes: bytes of the bodies that have been read for requests
         which are not answered yet.
     """
@@ -238,6 +252,12 @@
     ended = False
     held_bytes = 0
     clients = None
+    max_document_elements = IntakeLimits.max_document_elements
+
+    def init_socket(self):
+        """Open the listening socket."""
+        super().init_socket()
+        bound_socket_buffers(self.socket)
 
     def stop(self, timeout=None):
         """Stop accepting, and wait for running requests up to a timeout."""
@@ -271,6 +291,13 @@
     return environ.get(_IS_AWAITED, lambda: True)
 
 
+def max_document_elements(environ):
+    """Return the most elements that the document of a request may have."""
+    return environ.get(
+        _MAX_DOCUMENT_ELEMENTS, IntakeLimits.max_document_elements
+    )
+
+
 def wsgi_server(address, app, intake=None):
     """
     Return a server that is not started yet.
@@ -282,5 +309,7 @@
     server = DrainingServer(
         address, app, handler_class=NoDelayHandler, log=None, error_log=None
     )
-    server.clients = (intake or Intake()).clients(CONNECTION_SHARE)
+    intake = intake or Intake()
+    server.clients = intake.clients(CONNECTION_SHARE)
+    server.max_document_elements = intake.limits.max_document_elements
     return server
