Bodies and answers end with the time of their request

What callers saw: slots, connections to backend servers and connections of callers that clients kept as long as they liked, by a body that comes byte by byte or by an answer of which they read nothing. Cause: the time limit of a body started anew with every byte, the request's own time bound only what was sent to the backend server beside the node, and sending an answer had no limit at all. Change: a body is read until its request's time ends, what is dropped of a body for the header timeout in all, a streamed answer is sent until a second after its request's time, and any answer ends if not a byte of it is taken for the idle timeout. Why it works: each wait for a client has an end that more bytes don't move. An answer that was not streamed may be read at any pace above nothing, since it keeps no backend server.

--- a/damasklanding/node/connections.py
+++ b/damasklanding/node/connections.py
@@ -6,6 +6,7 @@
 its answers.  The head and the first part of the body go out in one write.
 """
 
+from contextlib import contextmanager
 from http.client import responses
 from io import BufferedReader
 from io import BytesIO
@@ -40,6 +41,8 @@
 RECEIVE_BYTES = 16 * 1024
 #: Requests received together that are served before others get a turn.
 MAX_REQUESTS_IN_A_ROW = 64
+#: A streamed answer may be read for this long after its request's time.
+LATE_ANSWER_MS = 1_000
 TURN_MS = 1  # gevent.sleep(0) would run no timers or other connections
 
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -259,6 +262,7 @@
         self.request = request
         self.head = b''
         self.head_sent = False
+        self.streamed = False
         self.until_close = False
         environ = {
             'REQUEST_METHOD': request.method,
@@ -283,6 +287,7 @@
 
     def _run_application(self, environ):
         result = self.server.application(environ, self.start_response)
+        self.streamed = not isinstance(result, tuple | list)
         try:
             for part in result:
                 self._send_body_part(part)
@@ -333,10 +338,25 @@
         except Unavailable as error:
             raise OSError('the answer could not be kept') from error
         self.client.waiting = True
+        self.socket.settimeout(self.server.limits.idle_timeout_ms / 1000)
         try:
-            self.socket.sendall(data)
+            with self._answer_time():
+                while data:
+                    data = data[self.socket.send(data) :]
         finally:
             self.client.waiting = False
+            self.client.release()
+
+    @contextmanager
+    def _answer_time(self):
+        """Bound the time for which an answer keeps its backend server."""
+        deadline_at_ms = self.request.deadline_at_ms
+        if deadline_at_ms is None or not self.streamed:
+            yield
+            return
+        left_ms = deadline_at_ms + LATE_ANSWER_MS - monotonic_ms()
+        with gevent.Timeout(max(left_ms, 0) / 1000, TimeoutError):
+            yield
 
     def _encode_part(self, part):
         if self.request.method == 'HEAD':
@@ -389,10 +409,11 @@
     def _discard_body(self, request):
         if type(request.body) is not RequestBody:
             return True
-        timeout_ms = self.server.limits.header_timeout_ms
-        self.socket.settimeout(timeout_ms / 1000)
+        timeout_s = self.server.limits.header_timeout_ms / 1000
+        self.socket.settimeout(timeout_s)
         try:
-            request.body._discard()
+            with gevent.Timeout(timeout_s, TimeoutError):
+                request.body._discard()
         except OSError:
             return False
         return not request.body._chunked_input_error
--- a/damasklanding/node/egress.py
+++ b/damasklanding/node/egress.py
@@ -144,14 +144,17 @@
         deadline_header = request.header_map.get(DEADLINE_MS, '')
         if deadline_header.isdecimal() and len(deadline_header) < 10:
             timeout_ms = min(timeout_ms, int(deadline_header))
-        deadline_at_ms = self._now_ms() + timeout_ms
+        deadline_at_ms = min(
+            self._now_ms() + timeout_ms, parent.deadline_at_ms
+        )
+        request.deadline_at_ms = deadline_at_ms
         return Call(
             request_id=parent.request_id,
             service=service,
             profile=profile.name,
             organisation=parent.organisation,
             importance=parent.importance,
-            deadline_at_ms=min(deadline_at_ms, parent.deadline_at_ms),
+            deadline_at_ms=deadline_at_ms,
             allowance=parent.allowance,
             depth=parent.depth + 1,
             method=request.method,
--- a/damasklanding/node/entry.py
+++ b/damasklanding/node/entry.py
@@ -130,6 +130,7 @@
         organisation, digest = self._authenticate(request)
         state.organisation = organisation.name
         call = self._build_call(request, state, profile)
+        request.deadline_at_ms = call.deadline_at_ms
         call.body = body_from_request(request, self._settings.max_body_bytes)
         state.call = call
         self._planned_stop.check(call)
--- a/damasklanding/node/ingress.py
+++ b/damasklanding/node/ingress.py
@@ -159,6 +159,7 @@
         destination = choose_part(route.parts, self._random.random())
         state.service = destination.service
         call = self._build_call(request, head, state, profile, organisation)
+        request.deadline_at_ms = call.deadline_at_ms
         call.body = body_from_request(request, self._settings.max_body_bytes)
         state.call = call
         if call.deadline_at_ms <= self._now_ms():
--- a/damasklanding/node/requesthead.py
+++ b/damasklanding/node/requesthead.py
@@ -10,6 +10,9 @@
 import re
 from urllib.parse import unquote
 
+import gevent
+
+from damasklanding.clock import monotonic_ms
 from damasklanding.errors import BadInput
 from damasklanding.errors import HeadersTooLarge
 from damasklanding.errors import HeaderTimeout
@@ -65,6 +68,8 @@
         :class:`~damasklanding.node.disconnect.DisconnectWatcher`.
     :ivar client: :class:`~damasklanding.intake.Client` for which its body is
         held, None where it is not read from a connection.
+    :ivar deadline_at_ms: time by which its body has to come and its answer has
+        to be taken, None while it is not known.
     :ivar onward: whether the backend server beside this node made it for a
         call that is running there.
     """
@@ -79,6 +84,7 @@
     body: object = None
     disconnect_watcher: object = None
     client: object = None
+    deadline_at_ms: float | None = None
     onward: bool = False
 
     def header(self, name):
@@ -90,10 +96,15 @@
         Return up to ``size`` bytes of the body, empty at its end.
 
         :raises BodyBroken: the body ended early or is malformed.
-        :raises HeaderTimeout: the caller sent nothing for too long.
+        :raises HeaderTimeout: the caller sent nothing for too long, or the
+            time of the request has ended.
         """
         try:
-            return self.body.read(size)
+            if self.deadline_at_ms is None or self.client is None:
+                return self.body.read(size)
+            left_ms = self.deadline_at_ms - monotonic_ms()
+            with gevent.Timeout(max(left_ms, 0) / 1000, TimeoutError):
+                return self.body.read(size)
         except TimeoutError as error:
             raise HeaderTimeout(
                 'no more of the body arrived in time'
--- a/tests/crowd_fleet.py
+++ b/tests/crowd_fleet.py
@@ -37,6 +37,8 @@
 CHUNKING_CROWD = 48  # reading small chunks takes the processor
 CROWD_TIMEOUT_S = 6
 HOLD_S = 0.5
+ANSWER_BLOCK = b'x' * 65_536
+ANSWER_BLOCKS = 256
 
 
 class LimitedFleet(PlatformFleet):
@@ -109,3 +111,28 @@
     eventually(lambda: is_served(fleet, number, port))
     eventually(lambda: is_served(fleet, 0, CALLER_PORT))
     fleet.rest[ip] = measure_rest(fleet.processes[ip], ip)
+
+
+@contextmanager
+def long_answers(backend):
+    """Let a backend server answer requests below ``/desk/long`` at length."""
+    answer_requests = backend._answer_requests
+
+    def answer(sock, file):
+        while found := backend._read_head(file):
+            is_long = '/long' in found['line']
+            blocks = ANSWER_BLOCKS if is_long else 1
+            sock.sendall(
+                b'HTTP/1.1 200 OK\r\nDamasklanding-Server-Signature: s.1\r\n'
+                b'Damasklanding-Attempt-Id: %b\r\nContent-Length: %d\r\n\r\n'
+                % (
+                    found['damasklanding-attempt-id'].encode(),
+                    blocks * len(ANSWER_BLOCK),
+                )
+            )
+            for _ in range(blocks):
+                sock.sendall(ANSWER_BLOCK)
+
+    backend._answer_requests = answer
+    yield
+    backend._answer_requests = answer_requests
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -9,6 +9,8 @@
 from contextlib import ExitStack
 from functools import partial
 
+from crowd_clients import ask_for_an_answer
+from crowd_clients import head
 from crowd_clients import send_body_in_chunks
 from crowd_clients import send_body_in_one_piece
 from crowd_clients import send_body_in_small_pieces
@@ -22,19 +24,24 @@
 from crowd_fleet import CROWD_TIMEOUT_S
 from crowd_fleet import HOLD_S
 from crowd_fleet import MAX_GROWTH_BYTES
+from crowd_fleet import SLOTS
 from crowd_fleet import RoomyFleet
 from crowd_fleet import is_served
+from crowd_fleet import long_answers
 from crowd_fleet import renew
 from crowd_fleet import running_fleet
 from crowds import Process
 from crowds import crowd
 from crowds import sampled
 import gevent
+from gevent import socket
 from platform_fleet import CALLER_PORT
 from platform_fleet import eventually
 import pytest
 
 WORK_S = 1.0
+UNREAD_ANSWERS = 24  # more than the backend server has slots
+TRICKLE_S = 0.5
 
 #: Clients of which each holds much, and the size of their crowd.
 HOLDING_CLIENTS = {
@@ -102,3 +109,59 @@
         assert fleet.processes[ip].poll() is None
         renew(fleet, ip, fleet.nodes.index(ip), CALLER_PORT)
     assert max(growths) < MAX_GROWTH_BYTES
+
+
+def test_answers_that_nobody_reads_leave_slots_to_others(fleet):
+    ask = partial(ask_for_an_answer, 'GET', '/desk/long')
+    with (
+        long_answers(fleet.backends[0]),
+        crowd(fleet.nodes[0], CALLER_PORT, UNREAD_ANSWERS, ask) as clients,
+    ):
+        gevent.joinall(clients, timeout=CROWD_TIMEOUT_S)
+        gevent.sleep(HOLD_S)
+        eventually(lambda: fleet.request(0, '/desk/1')[0] == 200)
+
+
+@pytest.mark.parametrize('number', [0, 1], ids=['same-host', 'other-host'])
+def test_answers_that_nobody_reads_end_with_their_time(fleet, number):
+    ip = fleet.nodes[number]
+    process = Process(fleet.processes[ip].pid, ip)
+    ask = partial(ask_for_an_answer, 'GET', '/desk/long')
+    with (
+        long_answers(fleet.backends[0]),
+        crowd(ip, CALLER_PORT, CHUNKING_CROWD, ask) as clients,
+    ):
+        gevent.joinall(clients, timeout=CROWD_TIMEOUT_S)
+        # Connections to the backend server may stay pooled.
+        rest = fleet.rest[ip][1] + SLOTS
+        eventually(lambda: process.descriptors() <= rest)
+
+
+TRICKLES = {
+    'small-body': (0, '/desk/crowd', 60_000),
+    'long-body': (0, '/desk/crowd', 1_000_000),
+    'long-body-to-other-host': (1, '/desk/crowd', 1_000_000),
+    'no-route': (0, '/nowhere/crowd', 60_000),
+}
+
+
+@pytest.mark.parametrize('trickle', TRICKLES)
+def test_body_that_trickles_in_does_not_keep_its_connection(fleet, trickle):
+    number, path, length = TRICKLES[trickle]
+    address = fleet.nodes[number], CALLER_PORT
+    with socket.create_connection(address, 5) as sock:
+        sock.sendall(head('POST', path, f'Content-Length: {length}'))
+
+        def is_ended():
+            try:
+                sock.sendall(b'x')
+                sock.settimeout(TRICKLE_S)
+                while sock.recv(65_536):
+                    pass
+                return True
+            except TimeoutError:
+                return False
+            except OSError:
+                return True
+
+        eventually(is_ended)
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -6,7 +6,6 @@
 that an ordinary request is answered afterwards.
 """
 
-from contextlib import contextmanager
 from functools import partial
 import json
 
@@ -33,6 +32,7 @@
 from crowd_fleet import OTHER_DESCRIPTORS
 from crowd_fleet import LimitedFleet
 from crowd_fleet import is_served
+from crowd_fleet import long_answers
 from crowd_fleet import renew
 from crowd_fleet import running_fleet
 from crowds import Process
@@ -49,8 +49,6 @@
 import pytest
 
 ELEMENTS_CROWD = 8  # so many orders are under way at most
-ANSWER_BLOCK = b'x' * 65_536
-ANSWER_BLOCKS = 256
 
 #: Clients and the size of their crowd.
 CLIENTS = {
@@ -151,31 +149,6 @@
     assert fleet.operator('PUT', '/config', change)[0] == status
 
 
-@contextmanager
-def long_answers(backend):
-    """Let a backend server answer requests below ``/desk/long`` at length."""
-    answer_requests = backend._answer_requests
-
-    def answer(sock, file):
-        while found := backend._read_head(file):
-            is_long = '/long' in found['line']
-            blocks = ANSWER_BLOCKS if is_long else 1
-            sock.sendall(
-                b'HTTP/1.1 200 OK\r\nDamasklanding-Server-Signature: s.1\r\n'
-                b'Damasklanding-Attempt-Id: %b\r\nContent-Length: %d\r\n\r\n'
-                % (
-                    found['damasklanding-attempt-id'].encode(),
-                    blocks * len(ANSWER_BLOCK),
-                )
-            )
-            for _ in range(blocks):
-                sock.sendall(ANSWER_BLOCK)
-
-    backend._answer_requests = answer
-    yield
-    backend._answer_requests = answer_requests
-
-
 @pytest.mark.parametrize('number', [0, 1], ids=['same-host', 'other-host'])
 def test_answers_that_nobody_reads_hold_up_no_others(fleet, number):
     """The backend server is beside the node that is asked, or elsewhere."""
