Small listeners end clients that do not go on

What callers saw: at the listeners of announcements, readiness, operators, administration and operations a client kept its connection, and the memory of its request, for as long as it liked: silent, with half a head or body, sending byte by byte, or not reading its answer. Cause: these listeners had no time limits at all. The listener of announcements now answers a body that is late or that would hold too much with the status of the error, which it did not catch before. Why it works: each wait for a client has an end that more bytes don't move.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -148,6 +148,8 @@
                 max_connections=settings.max_connections,
                 max_held_bytes=settings.max_held_bytes,
                 max_document_elements=settings.max_document_elements,
+                header_timeout_ms=settings.header_timeout_ms,
+                idle_timeout_ms=settings.idle_timeout_ms,
             ),
             _client_log(self.metrics),
         )
--- a/damasklanding/intake.py
+++ b/damasklanding/intake.py
@@ -59,11 +59,16 @@
     :ivar max_connections: connections of a listener for callers.
     :ivar max_held_bytes: bytes held for all clients and peers together.
     :ivar max_document_elements: values in the body of an operator's request.
+    :ivar header_timeout_ms: time that a head may take.
+    :ivar idle_timeout_ms: time for which a connection may be idle, or a whole
+        body or a part of an answer may take at a listener not for callers.
     """
 
     max_connections: int = 2_500
     max_held_bytes: int = 64 * 1024 * 1024
     max_document_elements: int = 200_000
+    header_timeout_ms: int = 5_000
+    idle_timeout_ms: int = 60_000
 
 
 class Client:
--- a/damasklanding/platform/announcements.py
+++ b/damasklanding/platform/announcements.py
@@ -106,8 +106,8 @@
         if action is None or not path.startswith(PREFIX):
             status, body = '404 Not Found', b'{"error":"not-found"}'
         else:
-            data = environ['wsgi.input'].read(MAX_BODY_BYTES)
             try:
+                data = environ['wsgi.input'].read(MAX_BODY_BYTES)
                 is_leave = action(_parse_instance(path[len(PREFIX) :]), data)
                 emptied = emptied_services() if is_leave else []
                 if emptied:
--- a/damasklanding/wsgi.py
+++ b/damasklanding/wsgi.py
@@ -7,7 +7,9 @@
 one that sends without end takes neither the memory nor the processor.
 """
 
+from contextlib import contextmanager
 from contextlib import suppress
+import errno
 from io import BufferedReader
 import socket
 
@@ -15,6 +17,8 @@
 from gevent.pywsgi import WSGIHandler
 from gevent.pywsgi import WSGIServer
 
+from damasklanding.clock import monotonic_ms
+from damasklanding.errors import HeaderTimeout
 from damasklanding.errors import TooLarge
 from damasklanding.errors import Unavailable
 from damasklanding.intake import Intake
@@ -81,17 +85,20 @@
         self._client = client
         self._server = server
         self._held_bytes = 0
+        self._ends_at_ms = monotonic_ms() + server.limits.idle_timeout_ms
 
     def read(self, length=None):
         """
         Read the body, or up to a number of bytes of it.
 
+        :raises HeaderTimeout: the body takes too long.
         :raises TooLarge: the body is too large.
         :raises Unavailable: other requests hold too much at the moment.
         """
         parts = []
         while length is None or length > 0:
-            part = super().read(min(length or PART_BYTES, PART_BYTES))
+            with self._time_left():
+                part = super().read(min(length or PART_BYTES, PART_BYTES))
             if not part:
                 break
             self._hold(len(part))
@@ -100,6 +107,16 @@
                 length -= len(part)
         return b''.join(parts)
 
+    @contextmanager
+    def _time_left(self):
+        left_ms = self._ends_at_ms - monotonic_ms()
+        try:
+            with gevent.Timeout(max(left_ms, 0) / 1000, TimeoutError):
+                yield
+        except TimeoutError as error:
+            self.unread = True
+            raise HeaderTimeout('the body did not come in time') from error
+
     def release(self):
         """Let go of what was read."""
         self._server.held_bytes -= self._held_bytes
@@ -128,7 +145,11 @@
     def _discard(self):
         left = MAX_DISCARD_BYTES
         while not self.unread and left > 0:
-            part = super().read(min(left, RECEIVE_BYTES))
+            try:
+                with self._time_left():
+                    part = super().read(min(left, RECEIVE_BYTES))
+            except HeaderTimeout:
+                return
             if not part:
                 return
             left -= len(part)
@@ -146,6 +167,7 @@
     """
 
     running = False
+    _head_timer = None
 
     def __init__(self, sock, address, server):
         self._client = None
@@ -161,6 +183,7 @@
                 return
             self._client = self._receiver.client = client
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.socket.settimeout(self.server.limits.idle_timeout_ms / 1000)
             super().handle()
 
     def handle_one_request(self):
@@ -172,6 +195,7 @@
             body = self.wsgi_input
             return None if body is not None and body.unread else more
         finally:
+            self._stop_head_timer()
             if self.wsgi_input is not None:
                 self.wsgi_input.release()
                 self.wsgi_input = None
@@ -185,6 +209,9 @@
             return ''
         self.running = True
         self.server.running += 1
+        self._head_timer = gevent.Timeout.start_new(
+            self.server.limits.header_timeout_ms / 1000, TimeoutError
+        )
         return super().read_requestline()
 
     def read_request(self, raw_requestline):
@@ -195,6 +222,12 @@
             return super().read_request(raw_requestline)
         finally:
             self.rfile = reader
+            self._stop_head_timer()
+
+    def _stop_head_timer(self):
+        if self._head_timer is not None:
+            self._head_timer.close()
+            self._head_timer = None
 
     def get_environ(self):
         """Return the environment of the request that was read."""
@@ -209,7 +242,9 @@
             plain.chunked_input,
         )
         environ[_IS_AWAITED] = self._is_awaited
-        environ[_MAX_DOCUMENT_ELEMENTS] = self.server.max_document_elements
+        environ[_MAX_DOCUMENT_ELEMENTS] = (
+            self.server.limits.max_document_elements
+        )
         return environ
 
     def _sendall(self, data):
@@ -217,6 +252,9 @@
         self._client.waiting = True
         try:
             super()._sendall(data)
+        except TimeoutError as error:
+            text = 'the client does not read its answer'
+            raise BrokenPipeError(errno.EPIPE, text) from error
         finally:
             self._client.waiting = False
 
@@ -239,7 +277,7 @@
     :ivar ended: whether no more requests are served.
     :ivar clients: its open connections, as
         :class:`~damasklanding.intake.Clients`.
-    :ivar max_document_elements: most elements of a document that it takes.
+    :ivar limits: :class:`~damasklanding.intake.IntakeLimits`.
     :ivar held_bytes: bytes of the bodies that have been read for requests
         which are not answered yet.
     """
@@ -252,7 +290,7 @@
     ended = False
     held_bytes = 0
     clients = None
-    max_document_elements = IntakeLimits.max_document_elements
+    limits = IntakeLimits()
 
     def init_socket(self):
         """Open the listening socket."""
@@ -311,5 +349,5 @@
     )
     intake = intake or Intake()
     server.clients = intake.clients(CONNECTION_SHARE)
-    server.max_document_elements = intake.limits.max_document_elements
+    server.limits = intake.limits
     return server
--- a/tests/test_wsgi.py
+++ b/tests/test_wsgi.py
@@ -1,3 +1,4 @@
+from contextlib import suppress
 import socket
 import time
 
@@ -7,6 +8,9 @@
 import pytest
 
 from damasklanding import wsgi
+from damasklanding.errors import HeaderTimeout
+from damasklanding.intake import Intake
+from damasklanding.intake import IntakeLimits
 from damasklanding.wsgi import wsgi_server
 
 
@@ -108,3 +112,47 @@
     server.stop(timeout=0.2)
     assert 0.2 <= time.monotonic() - started_s < 1
     client.close()
+
+
+HEAD = b'PUT /x HTTP/1.1\r\nHost: h\r\n'
+LENGTH = b'Content-Length: 1000\r\n\r\n'
+#: First bytes, and a byte that follows again and again.
+SLOW_CLIENTS = {
+    'nothing': (b'', b''),
+    'half-a-head': (HEAD, b''),
+    'head-byte-by-byte': (HEAD + b'X: ', b'x'),
+    'half-a-body': (HEAD + LENGTH, b''),
+    'body-byte-by-byte': (HEAD + LENGTH, b'x'),
+    'unread-body-byte-by-byte': (HEAD.replace(b'x', b'y') + LENGTH, b'x'),
+    'answer-unread': (HEAD.replace(b'x', b'long') + b'\r\n', b''),
+}
+
+
+@pytest.mark.parametrize('client', SLOW_CLIENTS)
+def test_client_without_end_does_not_keep_its_connection(client):
+    def app(environ, start_response):
+        status = '200 OK'
+        if environ['PATH_INFO'] == '/x':
+            try:
+                environ['wsgi.input'].read(1_000)
+            except HeaderTimeout:
+                status = '408 Request Timeout'
+        start_response(status, [])
+        return [b'x' * (16 << 20 if 'long' in environ['PATH_INFO'] else 1)]
+
+    limits = IntakeLimits(header_timeout_ms=200, idle_timeout_ms=400)
+    server = wsgi_server(('127.0.0.1', 0), app, Intake(limits))
+    server.start()
+    first, byte = SLOW_CLIENTS[client]
+    try:
+        with create_connection(server.address[:2], 5) as sock:
+            sock.sendall(first)
+            with gevent.Timeout(10):
+                while not server.clients:
+                    gevent.sleep(0.01)
+                while server.clients:
+                    gevent.sleep(0.02)
+                    with suppress(OSError):
+                        sock.sendall(byte)
+    finally:
+        server.stop(timeout=0)
