--- a/damasklanding/options.py
+++ b/damasklanding/options.py
@@ -366,8 +366,8 @@
         'max_held_bytes',
         'Most bytes of requests and unread answers that are held for all '
         'clients and peers together.',
-        _whole(1_048_576, 1 << 40),
-        'give 1048576 to 1099511627776',
+        _whole(4_194_304, 1 << 40),
+        'give 4194304 to 1099511627776',
         'BYTES',
     ),
     Option(
--- a/tests/crowd_fleet.py
+++ b/tests/crowd_fleet.py
@@ -41,6 +41,18 @@
 ANSWER_BLOCKS = 256
 
 
+@contextmanager
+def limited_environment(limits=LIMITS):
+    """Give the processes that are started in the block low limits."""
+    before = os.environ.copy()
+    os.environ.update(limits)
+    try:
+        yield
+    finally:
+        os.environ.clear()
+        os.environ.update(before)
+
+
 class LimitedFleet(PlatformFleet):
     """A fleet whose processes have low limits."""
 
@@ -51,13 +63,8 @@
         self.slots = [SLOTS] * len(services)
 
     def run(self, ip):
-        before = os.environ.copy()
-        os.environ.update(self.limits)
-        try:
+        with limited_environment(self.limits):
             super().run(ip)
-        finally:
-            os.environ.clear()
-            os.environ.update(before)
 
 
 class RoomyFleet(LimitedFleet):
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -24,6 +24,7 @@
 from crowd_fleet import CROWD_TIMEOUT_S
 from crowd_fleet import HOLD_S
 from crowd_fleet import MAX_GROWTH_BYTES
+from crowd_fleet import MAX_HELD_BYTES
 from crowd_fleet import SLOTS
 from crowd_fleet import RoomyFleet
 from crowd_fleet import is_served
@@ -39,6 +40,7 @@
 from platform_fleet import eventually
 import pytest
 
+MAX_BODY_BYTES = 1 << 30
 WORK_S = 1.0
 UNREAD_ANSWERS = 24  # more than the backend server has slots
 TRICKLE_S = 0.5
@@ -165,3 +167,57 @@
                 return True
 
         eventually(is_ended)
+
+
+def ask_once(fleet, number, lines, body=b''):
+    """Send one request; return the status of its answer."""
+    address = fleet.nodes[number], CALLER_PORT
+    with socket.create_connection(address, 5) as sock:
+        sock.settimeout(5)
+        sock.sendall(head('POST', '/desk/1', *lines) + body)
+        return int(sock.recv(65_536).split()[1])
+
+
+def fields(count):
+    """Return header lines that bring the request to a number of fields."""
+    present = head('POST', '/desk/1').count(b'\r\n') - 2
+    return [f'X-{number}: y' for number in range(count - present)]
+
+
+def long_field(size):
+    """Return a header line that brings the head to a number of bytes."""
+    present = len(head('POST', '/desk/1', 'X: ')) - len('\r\n\r\n')
+    return ['X: ' + 'y' * (size - present)]
+
+
+ONE_REQUEST = {
+    'most-fields': (fields(100), b'', 200),
+    'too-many-fields': (fields(101), b'', 431),
+    'longest-head': (long_field(16_384), b'', 200),
+    'too-long-head': (long_field(16_385), b'', 431),
+    'body-above-what-may-be-held': (
+        [f'Content-Length: {2 * MAX_HELD_BYTES}'],
+        b'x' * (2 * MAX_HELD_BYTES),
+        200,
+    ),
+    'chunks-of-two-bytes': (
+        ['Transfer-Encoding: chunked'],
+        b'2\r\nxx\r\n' * 20_000 + b'0\r\n\r\n',
+        200,
+    ),
+    'too-long-body': (
+        [f'Content-Length: {MAX_BODY_BYTES + 1}'],
+        b'',
+        413,
+    ),
+}
+
+
+@pytest.mark.parametrize('request_name', ONE_REQUEST)
+@pytest.mark.parametrize('number', [0, 1], ids=['same-host', 'other-host'])
+def test_single_request_is_served_up_to_the_limits(
+    fleet, number, request_name
+):
+    lines, body, status = ONE_REQUEST[request_name]
+    eventually(lambda: fleet.request(number, '/desk/1')[0] == 200)
+    assert ask_once(fleet, number, lines, body) == status
