Answers of small listeners count towards what is held

What callers saw: a control host that ended for lack of memory while clients asked for the configuration and read nothing of it. Cause: each such answer is as large as the document, up to 4 MiB, and stands twice in memory while it is sent, once with its head; nothing counted it. Why it works: unread answers share the bound of all that clients make a process hold.

--- a/damasklanding/wsgi.py
+++ b/damasklanding/wsgi.py
@@ -48,6 +48,8 @@
 #: Largest size of all bodies that a server holds at a time.
 MAX_HELD_BYTES = 8 * 1024 * 1024
 PART_BYTES = 64 * 1024
+#: The application's answer, and the same with its head.
+ANSWER_COPIES = 2
 #: Connections of such a server, of those that callers may have.
 CONNECTION_SHARE = 0.05
 #: Bytes of an unread body that are dropped; a longer one ends its connection.
@@ -248,15 +250,19 @@
         return environ
 
     def _sendall(self, data):
-        self._client.begin()
-        self._client.waiting = True
+        client = self._client
+        client.begin()
+        held_bytes = client.held_bytes
         try:
+            client.hold(ANSWER_COPIES * len(data))
+            client.waiting = True
             super()._sendall(data)
-        except TimeoutError as error:
-            text = 'the client does not read its answer'
+        except (TimeoutError, Unavailable) as error:
+            text = 'the answer is not read, or too many are not'
             raise BrokenPipeError(errno.EPIPE, text) from error
         finally:
-            self._client.waiting = False
+            client.waiting = False
+            client.settle(held_bytes)
 
     def _is_awaited(self):
         return self.socket is not None and not peer_has_closed(self.socket)
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -37,10 +37,13 @@
 import gevent
 from gevent import socket
 from platform_fleet import CALLER_PORT
+from platform_fleet import OPERATOR_PORT
+from platform_fleet import document
 from platform_fleet import eventually
 import pytest
 
 MAX_BODY_BYTES = 1 << 30
+PADDING_BYTES = 1_000_000
 WORK_S = 1.0
 UNREAD_ANSWERS = 24  # more than the backend server has slots
 TRICKLE_S = 0.5
@@ -221,3 +224,26 @@
     lines, body, status = ONE_REQUEST[request_name]
     eventually(lambda: fleet.request(number, '/desk/1')[0] == 200)
     assert ask_once(fleet, number, lines, body) == status
+
+
+def test_documents_that_nobody_reads_are_not_kept(fleet):
+    ip = fleet.control[0]
+    process = fleet.processes[ip]
+    padded = {**document(2, 1), 'padding': 'x' * PADDING_BYTES}
+    eventually(lambda: fleet.operator('PUT', '/config', padded)[0] == 200)
+    eventually(
+        lambda: len(fleet.operator('GET', '/config')[2]) > PADDING_BYTES
+    )
+    rest_bytes, _ = fleet.rest[ip]
+    ask = partial(ask_for_an_answer, 'GET', '/config')
+    with (
+        sampled(Process(process.pid, ip)) as peaks,
+        crowd(ip, OPERATOR_PORT, CHUNKING_CROWD, ask) as clients,
+    ):
+        gevent.joinall(clients, timeout=CROWD_TIMEOUT_S)
+        gevent.sleep(HOLD_S)
+        eventually(lambda: fleet.operator('GET', '/config')[0] == 200)
+    growth_bytes = peaks.held_bytes - rest_bytes
+    print(f'grew by {growth_bytes / 1e6:.1f} MB')
+    assert process.poll() is None
+    assert growth_bytes < MAX_GROWTH_BYTES
