Connections that have to show the fleet secret are bounded

What callers saw: nothing yet; found by a crowd at the last listener without a bound. 256 silent connections to the peer address took 256 descriptors of a node or a control host, for the two seconds of a handshake each, so that a crowd that comes again could take all of them. Cause: the listener of peers bounded a handshake's time and size, not the number. Links are not counted.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -172,6 +172,7 @@
             settings.secret,
             self.handlers,
             options,
+            self.intake.clients(),
         )
         if 'control' in settings.roles:
             self.control = _ControlRole(self)
--- a/damasklanding/linkserver.py
+++ b/damasklanding/linkserver.py
@@ -12,6 +12,7 @@
 from damasklanding.errors import LinkTimeout
 from damasklanding.exchange import problem_from_error
 from damasklanding.handshake import accept_handshake
+from damasklanding.intake import Intake
 from damasklanding.link import HANDSHAKE_TIMEOUT_MS
 from damasklanding.link import Link
 from damasklanding.link import LinkOptions
@@ -26,12 +27,23 @@
     """
     Listens for links on one address.
 
+    :param clients: :class:`~damasklanding.intake.Clients` among which a
+        connection counts until it has shown the secret; None for its own.
     :ivar links: set of the open links.
     :ivar refused: count of connections that failed the handshake.
     """
 
-    def __init__(self, address, identity, secret, handlers, options=None):
+    def __init__(
+        self,
+        address,
+        identity,
+        secret,
+        handlers,
+        options=None,
+        clients=None,
+    ):
         self.links = set()
+        self._clients = Intake().clients() if clients is None else clients
         self.refused = 0
         self._stopping = False
         self._identity = identity
@@ -64,16 +76,9 @@
         self._server.close()
 
     def _handle_connection(self, sock, _address):
-        try:
-            set_socket_options(sock)
-            with gevent.Timeout(
-                HANDSHAKE_TIMEOUT_MS / 1000,
-                LinkTimeout('the handshake was not finished in time'),
-            ):
-                peer = accept_handshake(sock, self._identity, self._secret)
-        except (OSError, DamasklandingError) as error:
-            self.refused += 1
-            self._send_refusal(sock, error)
+        with self._clients.admitted(sock) as client:
+            peer = self._shake_hands(sock, client)
+        if peer is None:
             return
         if self._stopping:
             sock.close()
@@ -86,6 +91,25 @@
         finally:
             self.links.discard(link)
 
+    def _shake_hands(self, sock, client):
+        """Return the identity of the other end, None if it is refused."""
+        if client is None:
+            self.refused += 1
+            sock.close()
+            return None
+        client.waiting = True
+        try:
+            set_socket_options(sock)
+            with gevent.Timeout(
+                HANDSHAKE_TIMEOUT_MS / 1000,
+                LinkTimeout('the handshake was not finished in time'),
+            ):
+                return accept_handshake(sock, self._identity, self._secret)
+        except (OSError, DamasklandingError) as error:
+            self.refused += 1
+            self._send_refusal(sock, error)
+            return None
+
     def _send_refusal(self, sock, error):
         try:
             if isinstance(error, DamasklandingError):
--- a/tests/test_misbehaving_clients.py
+++ b/tests/test_misbehaving_clients.py
@@ -43,6 +43,7 @@
 from platform_fleet import CALLER_PORT
 from platform_fleet import KEY
 from platform_fleet import OPERATOR_PORT
+from platform_fleet import PEER_PORT
 from platform_fleet import READY_PORT
 from platform_fleet import document
 from platform_fleet import eventually
@@ -149,6 +150,26 @@
     assert fleet.operator('PUT', '/config', change)[0] == status
 
 
+@pytest.mark.parametrize('number', [0, None], ids=['node', 'control'])
+def test_crowd_at_the_listener_of_peers_takes_few_descriptors(fleet, number):
+    ip = door_address(fleet, number)
+    process = fleet.processes[ip]
+    rest_bytes, rest_descriptors = fleet.rest[ip]
+    with (
+        sampled(Process(process.pid, ip)) as peaks,
+        crowd(ip, PEER_PORT, CROWD, partial(send_nothing, '', '')) as clients,
+    ):
+        gevent.joinall(clients, timeout=CROWD_TIMEOUT_S)
+        gevent.sleep(HOLD_S)
+        eventually(lambda: is_served(fleet, number, CALLER_PORT))
+    assert process.poll() is None
+    growth_bytes = peaks.held_bytes - rest_bytes
+    opened = peaks.descriptors - rest_descriptors
+    print(f'grew by {growth_bytes / 1e6:.1f} MB, opened {opened}')
+    assert growth_bytes < MAX_GROWTH_BYTES
+    assert opened <= MAX_CONNECTIONS + OTHER_DESCRIPTORS
+
+
 @pytest.mark.parametrize('number', [0, 1], ids=['same-host', 'other-host'])
 def test_answers_that_nobody_reads_hold_up_no_others(fleet, number):
     """The backend server is beside the node that is asked, or elsewhere."""
