--- a/tests/crowd_clients.py
+++ b/tests/crowd_clients.py
@@ -99,6 +99,12 @@
     sock.sendall(head(method, path))
 
 
+def read_an_answer_slowly(method, path, sock):
+    sock.sendall(head(method, path))
+    while sock.recv(1):
+        gevent.sleep(0.05)
+
+
 def send_one_by_one_unread(method, path, sock):
     for _ in range(1_000):
         sock.sendall(head(method, path, 'Content-Length: 0'))
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -11,6 +11,7 @@
 
 from crowd_clients import ask_for_an_answer
 from crowd_clients import head
+from crowd_clients import read_an_answer_slowly
 from crowd_clients import send_body_in_chunks
 from crowd_clients import send_body_in_one_piece
 from crowd_clients import send_body_in_small_pieces
@@ -128,10 +129,13 @@
 
 
 @pytest.mark.parametrize('number', [0, 1], ids=['same-host', 'other-host'])
-def test_answers_that_nobody_reads_end_with_their_time(fleet, number):
+@pytest.mark.parametrize(
+    'behave', [ask_for_an_answer, read_an_answer_slowly], ids=['none', 'slow']
+)
+def test_answers_that_nobody_reads_end_with_their_time(fleet, number, behave):
     ip = fleet.nodes[number]
     process = Process(fleet.processes[ip].pid, ip)
-    ask = partial(ask_for_an_answer, 'GET', '/desk/long')
+    ask = partial(behave, 'GET', '/desk/long')
     with (
         long_answers(fleet.backends[0]),
         crowd(ip, CALLER_PORT, CHUNKING_CROWD, ask) as clients,
