Crowds at several listeners together can't take all descriptors

What callers saw: a node with no descriptor left for callers, for other nodes or for its backend server while crowds were silent at its listeners of announcements and readiness. Cause: see the bound of connections; beside it the bound of those that have to show the fleet secret was as high as that of callers, so that both together could pass the descriptors of a machine (4,100). By default 2,500 callers, 500 of these and 125 at each other listener; the rest is for links, backend servers and files. That two listeners together could take all descriptors with the former bound is by reckoning; it was not played.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -34,6 +34,9 @@
 BEAT_MS = 300
 CLOSE_TIMEOUT_MS = 100  # for requests that need no other process
 CLIENT_LINE_INTERVAL_MS = 10_000
+#: Connections that have to show the fleet secret yet, of those that callers
+#: may have.
+HANDSHAKE_SHARE = 0.2
 LEADERLESS_MS = 3_000
 
 
@@ -172,7 +175,7 @@
             settings.secret,
             self.handlers,
             options,
-            self.intake.clients(),
+            self.intake.clients(HANDSHAKE_SHARE),
         )
         if 'control' in settings.roles:
             self.control = _ControlRole(self)
--- a/damasklanding/intake.py
+++ b/damasklanding/intake.py
@@ -56,8 +56,7 @@
     """
     Limits of all listeners of a process; see the settings.
 
-    :ivar max_connections: connections of a listener for callers, and of
-        those that have to show the fleet secret yet.
+    :ivar max_connections: connections of a listener for callers.
     :ivar max_held_bytes: bytes held for all clients and peers together.
     :ivar max_document_elements: values in the body of an operator's request.
     :ivar header_timeout_ms: time that a head may take.
--- a/damasklanding/options.py
+++ b/damasklanding/options.py
@@ -356,8 +356,8 @@
     ),
     Option(
         'max_connections',
-        'Most connections of a listener for callers, and of those that have '
-        'to show the fleet secret yet; other listeners may have a twentieth.',
+        'Most connections of a listener for callers; a fifth may have to show '
+        'the fleet secret yet, and other listeners may have a twentieth.',
         _whole(8, 1_000_000),
         'give 8 to 1000000',
         'COUNT',
