Comments of three constants that stand alone

Found when reading the diff again. Only comments changed: the syntax trees of both modules are the same before and after.

--- a/damasklanding/composition.py
+++ b/damasklanding/composition.py
@@ -34,8 +34,7 @@
 BEAT_MS = 300
 CLOSE_TIMEOUT_MS = 100  # for requests that need no other process
 CLIENT_LINE_INTERVAL_MS = 10_000
-#: Connections that have to show the fleet secret yet, of those that callers
-#: may have.
+#: Part of ``max_connections`` that may be in the handshake of a link.
 HANDSHAKE_SHARE = 0.2
 LEADERLESS_MS = 3_000
 
--- a/damasklanding/wsgi.py
+++ b/damasklanding/wsgi.py
@@ -48,9 +48,9 @@
 #: Largest size of all bodies that a server holds at a time.
 MAX_HELD_BYTES = 8 * 1024 * 1024
 PART_BYTES = 64 * 1024
-#: The application's answer, and the same with its head.
+#: While it is sent, an answer is in memory alone and with its head before it.
 ANSWER_COPIES = 2
-#: Connections of such a server, of those that callers may have.
+#: Part of ``max_connections`` that a server of this module may have.
 CONNECTION_SHARE = 0.05
 #: Bytes of an unread body that are dropped; a longer one ends its connection.
 MAX_DISCARD_BYTES = 64 * 1024
