--- a/damasklanding/control/watch.py
+++ b/damasklanding/control/watch.py
@@ -129,12 +129,11 @@
             message.revision,
             self._view.now_ms(),
         )
-        self._watchers[id(exchange)] = watcher
         try:
             self._start(watcher)
             while True:
                 received = exchange.receive(WATCHER_TIMEOUT_MS)
-                self._send_deltas(watcher)
+                self._send_changes(watcher)
                 if type(received) is Beat:
                     self._answer_heartbeat(watcher, received)
         finally:
@@ -170,9 +169,16 @@
             watcher.exchange.deliver(_WAKE)
 
     def _start(self, watcher):
+        self._watchers[id(watcher.exchange)] = watcher
+        self._send_changes(watcher)
+
+    def _send_changes(self, watcher):
+        """Send what a watcher lacks, all of it where changes were dropped."""
+        if self._view.state.revision <= watcher.revision:
+            return
         if self._deltas.reaches_back_to(watcher.revision):
             self._send_deltas(watcher)
-        elif self._view.state.revision > watcher.revision:
+        else:
             self._send_snapshot(watcher)
 
     def _send_snapshot(self, watcher):
