--- a/damasklanding/control/deltas.py
+++ b/damasklanding/control/deltas.py
@@ -2,7 +2,9 @@
 damasklanding.control.deltas
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-The latest changes of a view, kept for its watchers, and their encoding.
+The latest changes of a view, kept for its watchers, and their encoding.  The
+log begins anew where a snapshot replaces the view, since a watcher may hold a
+revision in between and be told of no removal by the change to the snapshot.
 Changes that wait for a watcher are merged: of several writes of a resource
 only the last one is sent.  Watchers with the same interests share one
 encoding.
@@ -76,13 +78,8 @@
     def __init__(self, state):
         self._state = state
         self._deltas = deque(maxlen=MAX_KEPT_DELTAS)
-        self._first_revision = state.revision
-        self._last_revision = state.revision
-        self._services = {
-            name: backend.service
-            for name, backend in state.all('backend').items()
-        }
         self._encodings = {}
+        self._begin()
 
     def append(self, changes):
         """
@@ -94,6 +91,10 @@
         :return: False if the revision is the same as before.
         """
         state = self._state
+        if state.replacements != self._replacements:
+            before = self._last_revision
+            self._begin()
+            return state.revision != before
         services_before = self._move_backends(changes)
         if state.revision == self._last_revision:
             return False
@@ -134,6 +135,19 @@
             *self._encoded(revision, pending, interest, compressed),
         )
 
+    def _begin(self):
+        """Begin the log at the present revision, without changes."""
+        state = self._state
+        self._deltas.clear()
+        self._encodings.clear()
+        self._replacements = state.replacements
+        self._first_revision = state.revision
+        self._last_revision = state.revision
+        self._services = {
+            name: backend.service
+            for name, backend in state.all('backend').items()
+        }
+
     def _move_backends(self, changes):
         """Return the service that each changed backend server had before."""
         before = {}
--- a/damasklanding/control/snapshots.py
+++ b/damasklanding/control/snapshots.py
@@ -6,6 +6,7 @@
 leader sends it to a peer that needs entries which the log no longer holds.
 """
 
+from loguru import logger
 import msgspec
 
 from damasklanding.control.journal import Snapshot
@@ -149,6 +150,14 @@
     """Replace the state by a snapshot, unless the snapshot is older."""
     if snapshot.index <= replica.commit_index:
         return
+    logger.info(
+        '{}: a snapshot of entry {} ({} bytes) replaces the state of entry {}',
+        replica.group,
+        snapshot.index,
+        len(snapshot.state),
+        replica.applied_index,
+    )
+    replica.increment_counter('snapshots_installed_total')
     replica.applier.paused = True
     try:
         replica.journal.save_snapshot(snapshot)
--- a/damasklanding/fleet/state.py
+++ b/damasklanding/fleet/state.py
@@ -18,11 +18,13 @@
 
     :ivar term: term of the log entry that made the latest change.
     :ivar revision: index of that entry.
+    :ivar replacements: how many snapshots have replaced all resources.
     """
 
     def __init__(self):
         self.term = 0
         self.revision = 0
+        self.replacements = 0
         self._resources = {kind: {} for kind in KINDS}
 
     def get(self, kind, name):
@@ -90,6 +92,7 @@
         self.merge(whole)
         self.term = term
         self.revision = revision
+        self.replacements += 1
         return whole
 
     def snapshot(self, wanted=None):
--- a/damasklanding/metrics.py
+++ b/damasklanding/metrics.py
@@ -49,6 +49,10 @@
         'Committed log entries that can not be applied',
         ('group',),
     ),
+    'snapshots_installed_total': (
+        'Snapshots of a leader that replaced the state of this host',
+        ('group',),
+    ),
     'changes_total': ('Configuration changes applied', ('kind',)),
     'elections_total': ('Elections by group and result', ('group', 'result')),
     'series_dropped_total': (
--- a/tests/test_watch_server.py
+++ b/tests/test_watch_server.py
@@ -4,9 +4,11 @@
 
 import gevent
 from gevent.queue import Queue
+import pytest
 
 from damasklanding.control import deltas
 from damasklanding.control.watch import WatchServer
+from damasklanding.errors import DamasklandingError
 from damasklanding.fleet.resources import KINDS
 from damasklanding.fleet.resources import Backend
 from damasklanding.fleet.resources import BudgetShard
@@ -83,17 +85,22 @@
             self.view, None, NODE, list, random.Random(1), all_services=True
         )
         self.channel = None
+        self.server = None
+        self.is_relay = False
         self._greenlet = None
 
-    def follow(self, server):
+    def follow(self, server, is_relay=False):
         self.stop()
+        self.server = server
+        self.is_relay = is_relay
         self.channel = Channel()
         state = self.view.state
+        is_incomplete = self.client._needs_snapshot and not is_relay
         message = Watch(
             NODE.name,
             NODE.instance,
             state.term,
-            state.revision,
+            0 if is_incomplete else state.revision,
             [],
             True,
             compressed=True,
@@ -109,7 +116,10 @@
         """Take all messages that wait; return them."""
         messages, self.channel.sent = self.channel.sent, []
         for message in messages:
-            self.client._take([], message)
+            if self.is_relay:
+                self.client._add_relayed(message)
+            else:
+                self.client._take([], message)
         return messages
 
     def stop(self):
@@ -146,3 +156,157 @@
     assert contents(node.view) == contents(source)
     assert [type(m) for m in messages][:1] == [WatchSnapshot]
     node.stop()
+
+
+def test_watcher_within_an_installed_snapshot_is_told_of_removals():
+    # Guards against a node that goes on with a route and a key that were
+    # removed while its next source was down and then installed a snapshot.
+    removed = [Change('host_route', 'r'), Change('organisation', 'o')]
+    before = [
+        put_centre('dc'),
+        *(
+            Change.put(change.kind, MAKERS[change.kind](change.name, 2))
+            for change in removed
+        ),
+    ]
+    source = FleetView()
+    source.apply(1, 1, [put_centre('dc')])
+    server = WatchServer(source)
+    node = WatchingNode()
+    node.view.replace(1, 2, before)
+    source.replace(1, 3, [put_centre('dc')])
+    node.follow(server)
+    node.read()
+    assert node.view.state.revision == 3
+    assert contents(node.view) == contents(source)
+    node.stop()
+
+
+class FleetModel:
+    """
+    Control hosts that apply a common log, and nodes that follow them or one
+    another.
+
+    :ivar states: all resources by revision of the log.
+    """
+
+    HOSTS = 3
+    NODES = 3
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.log = []
+        self.states = {0: contents(FleetView())}
+        self.committed = FleetView()
+        self.hosts = [FleetView() for _ in range(self.HOSTS)]
+        self.servers = [WatchServer(view) for view in self.hosts]
+        self.nodes = [WatchingNode() for _ in range(self.NODES)]
+        self.relays = [WatchServer(node.view) for node in self.nodes]
+        for node in self.nodes:
+            node.follow(self.random.choice(self.servers))
+
+    def commit(self):
+        """Put or remove a few resources of any kind."""
+        revision = self.committed.state.revision + self.random.randint(1, 3)
+        changes = {}
+        for _ in range(self.random.randint(1, 3)):
+            kind = self.random.choice(sorted(KINDS))
+            name = f'x{self.random.randrange(3)}'
+            change = Change(kind, name)
+            if self.random.random() < 0.6:
+                change = Change.put(kind, MAKERS[kind](name, revision))
+            changes[kind, name] = change
+        changes = list(changes.values())
+        self.committed.apply(1, revision, changes)
+        self.log.append((1, revision, changes))
+        self.states[revision] = contents(self.committed)
+
+    def apply(self):
+        """Apply some entries that a host lacks."""
+        view = self.random.choice(self.hosts)
+        lacking = [e for e in self.log if e[1] > view.state.revision]
+        for entry in lacking[: self.random.randint(1, 4)]:
+            view.apply(*entry)
+
+    def install(self):
+        """Give a host a snapshot of the newest state."""
+        state = self.committed.state
+        self.random.choice(self.hosts).replace(
+            state.term, state.revision, state.snapshot()
+        )
+
+    def restart(self):
+        """Start a host anew, with its disk or with an empty one."""
+        number = self.random.randrange(self.HOSTS)
+        old, view = self.hosts[number].state, FleetView()
+        if self.random.random() < 0.5:
+            view.replace(old.term, old.revision, old.snapshot())
+        server = self.servers[number]
+        self.hosts[number] = view
+        self.servers[number] = WatchServer(view)
+        for node in self.nodes:
+            if node.server is server:
+                node.follow(self.random.choice(self.servers))
+
+    def move(self):
+        """Let a node follow another host; what it has not read is lost."""
+        self.random.choice(self.nodes).follow(self.random.choice(self.servers))
+
+    def move_to_relay(self):
+        """Let a node follow another node."""
+        node, relay = self.random.sample(range(self.NODES), 2)
+        self.nodes[node].follow(self.relays[relay], is_relay=True)
+
+    def read(self):
+        """Let a node read; one that is not chosen for long is frozen."""
+        node = self.random.choice(self.nodes)
+        node.request_update()
+        try:
+            node.read()
+        except DamasklandingError:  # the source is behind
+            node.follow(self.random.choice(self.servers))
+
+    def check(self):
+        for view in self.hosts:
+            assert contents(view) == self.states[view.state.revision]
+        for node in self.nodes:
+            held = contents(node.view)
+            expected = dict(self.states[node.view.state.revision])
+            if node.client._needs_snapshot:
+                # A relay may know only some of the backend servers.
+                del held['backend'], expected['backend']
+            assert held == expected
+
+
+@pytest.mark.parametrize('seed', range(60))
+def test_who_names_a_revision_holds_exactly_its_state(monkeypatch, seed):
+    # Guards against nodes that keep what was removed, whatever the order of
+    # changes, installed snapshots, restarts, freezes and changes of source.
+    monkeypatch.setattr(deltas, 'MAX_KEPT_DELTAS', 4)
+    model = FleetModel(seed)
+    steps = [
+        model.commit,
+        model.commit,
+        model.apply,
+        model.apply,
+        model.install,
+        model.restart,
+        model.move,
+        model.move_to_relay,
+        model.read,
+        model.read,
+        model.read,
+    ]
+    for _ in range(200):
+        model.random.choice(steps)()
+        model.check()
+    for view in model.hosts:
+        state = model.committed.state
+        view.replace(state.term, state.revision, state.snapshot())
+    for node in model.nodes:
+        node.follow(model.servers[0])
+        node.read()
+        assert not node.client._needs_snapshot
+        assert node.view.state.revision == model.committed.state.revision
+        node.stop()
+    model.check()
