A frame that waits for room on a link is queued only once there is room

Cause: Link.send queued the frame, then waited for the backlog to shrink, and a request counts as sent when send returns. The frame could leave, run and be answered before that; a wait that ended otherwise, by a reset, a caller that left or a stop, counted the request as not run. Change: a frame waits for its turn and is queued when there is room; between that and the return of send nothing waits, so that a send which fails has sent nothing. The wait ends with the time of the request, also for the parts of an upload. Heartbeats and cancellations do not wait, and heartbeats go before the backlog. Ruled out: noting the request as sent before the wait, as then each request that waits at a reset has an unknown outcome though it never left.

--- a/damasklanding/exchange.py
+++ b/damasklanding/exchange.py
@@ -145,15 +145,19 @@
 
     def withdraw(self):
         """Ask the other end to drop the request unless it has started."""
-        self.send(Cancel(UNLESS_STARTED))
+        self.link.send(Cancel(UNLESS_STARTED), self.exchange_id, urgent=True)
 
-    def send(self, message):
+    def send(self, message, timeout_ms=None):
         """
-        Send a message; blocks while the connection is full.
+        Send a message; waits while the connection is full.
 
+        If this raises, no byte of the message has left and none will.
+
+        :param timeout_ms: longest wait, None for no limit.
+        :raises LinkTimeout: the connection stayed full.
         :raises LinkClosed: the connection has closed.
         """
-        self.link.send(message, self.exchange_id)
+        self.link.send(message, self.exchange_id, timeout_ms)
 
     def receive(self, timeout_ms=None):
         """
@@ -203,7 +207,7 @@
         """Close the exchange and cancel it at the other end."""
         self.close()
         try:
-            self.send(Cancel(reason))
+            self.link.send(Cancel(reason), self.exchange_id, urgent=True)
         except LinkClosed:
             pass
 
--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -120,7 +120,8 @@
         self._exchanges = {}
         self._backlog = deque()
         self._backlog_bytes = 0
-        self._backlog_has_room = Event()
+        self._turns = deque()
+        self._granted_bytes = 0
         self._pong_received = Event()
         self._readable = gevent.get_hub().loop.io(sock.fileno(), READ_EVENT)
         self._options = options
@@ -223,32 +224,81 @@
         with self.exchange(message) as exchange:
             return exchange.receive(timeout_ms)
 
-    def send(self, message, exchange_id=0):
-        """Send a message in one frame; may block while the backlog is full."""
+    def send(self, message, exchange_id=0, timeout_ms=None, urgent=False):
+        """
+        Send a message in one frame; waits while the backlog is full.
+
+        If this raises, whatever ended the wait, no byte of the frame has left
+        and none will.
+
+        :param timeout_ms: longest wait, None for no limit.
+        :param urgent: whether to send it without a wait.  Without an exchange
+            it also goes before the backlog, as a heartbeat should.
+        :raises LinkTimeout: the backlog stayed full.
+        :raises LinkClosed: the connection has closed.
+        """
         if exchange_id and exchange_id % 2 == self._own_id_parity:
             # This side opened the exchange, so it expects an answer.
             self._last_request_ms = self._now_ms()
-        self._send_bytes(encode_frame(message, exchange_id))
-
-    def _send_bytes(self, data):
+        data = encode_frame(message, exchange_id)
+        is_full = self._turns or self._backlog_bytes > MAX_BACKLOG_BYTES
+        if is_full and not urgent:
+            self._wait_for_turn(len(data), timeout_ms)
+        self._send_bytes(data, ahead=urgent and not exchange_id)
+        if self._turns:
+            # Without a backlog no writer runs that would do it.
+            self._grant_turns()
+
+    def _send_bytes(self, data, ahead):
         # A greenlet may be killed while it waits and must not leave half a
         # frame on the connection.  The writer therefore sends what the socket
-        # does not accept at once.
+        # does not accept at once, and nothing here waits.
         if self.closed.is_set():
             raise LinkClosed(f'the link to {self.peer.name} closed')
         if not self._backlog:
             data = data[self._send_nonblocking(data) :]
             if not data:
                 return
-        self._backlog.append(data)
+        if ahead and self._backlog:
+            # A part of the first frame may have left.
+            self._backlog.insert(1, data)
+        else:
+            self._backlog.append(data)
         self._backlog_bytes += len(data)
         if self._writer is None:
             self._writer = gevent.spawn(self._write_backlog)
-        if self._backlog_bytes > MAX_BACKLOG_BYTES:
-            self._backlog_has_room.clear()
-            self._backlog_has_room.wait()
-            if self.closed.is_set():
-                raise LinkClosed(f'the link to {self.peer.name} closed')
+
+    def _wait_for_turn(self, size, timeout_ms):
+        """Wait until the backlog has room for a frame of some bytes."""
+        turn = _Turn(size)
+        self._turns.append(turn)
+        timeout_s = None if timeout_ms is None else max(timeout_ms, 0) / 1000
+        try:
+            if not turn.event.wait(timeout_s):
+                raise LinkTimeout(f'{self.peer.name} reads too slowly')
+        except BaseException:
+            self._end_turn(turn)
+            self._grant_turns()
+            raise
+        self._end_turn(turn)
+
+    def _end_turn(self, turn):
+        if turn.is_granted:
+            self._granted_bytes -= turn.size
+        else:
+            self._turns.remove(turn)
+
+    def _grant_turns(self):
+        """Let the frames that have waited longest into the backlog."""
+        used_bytes = self._backlog_bytes + self._granted_bytes
+        while self._turns and (
+            used_bytes <= MAX_BACKLOG_BYTES or self.closed.is_set()
+        ):
+            turn = self._turns.popleft()
+            turn.is_granted = True
+            turn.event.set()
+            self._granted_bytes += turn.size
+            used_bytes += turn.size
 
     def _send_nonblocking(self, data):
         try:
@@ -274,8 +324,7 @@
                     self._backlog[0] = memoryview(data)[sent:]
                 else:
                     self._backlog.popleft()
-                if self._backlog_bytes <= MAX_BACKLOG_BYTES:
-                    self._backlog_has_room.set()
+                self._grant_turns()
             self._writer = None
         except (OSError, LinkClosed) as error:
             self._options.on_error(self, error)
@@ -290,7 +339,7 @@
         if self.closed.is_set():
             return
         self.closed.set()
-        self._backlog_has_room.set()
+        self._grant_turns()
         self._pong_received.set()
         self._readable.close()
         self._options.timer.remove(self._check_connection)
@@ -379,7 +428,8 @@
             self.peer_load = message.load
             self.excess_delay_ms(message.sent_ms)
             self._options.on_load_report(self)
-            self.send(Pong(message.seq, self._options.load_report()))
+            pong = Pong(message.seq, self._options.load_report())
+            self.send(pong, urgent=True)
         elif message_type is Pong:
             self.peer_load = message.load
             self._options.on_load_report(self)
@@ -514,10 +564,24 @@
         self.send(
             Ping(
                 self._ping_seq, self._options.load_report(), int(self.age_ms())
-            )
+            ),
+            urgent=True,
         )
 
 
+@dataclass(eq=False, slots=True)
+class _Turn:
+    """
+    A frame that waits for room in the backlog.
+
+    :ivar is_granted: whether room is kept for it.
+    """
+
+    size: int
+    event: Event = field(default_factory=Event)
+    is_granted: bool = False
+
+
 class _DelayEstimator:
     """
     Estimates the delay of frames without synchronised clocks.
--- a/damasklanding/node/bodies.py
+++ b/damasklanding/node/bodies.py
@@ -134,16 +134,16 @@
     Send a streamed body within the credit granted by the other end.
 
     :return: False if the other end answered before the whole body was sent.
-    :raises LinkTimeout: no credit came before the deadline.
+    :raises LinkTimeout: the other end did not take all before the deadline.
     """
     for part in parts:
         for start in range(0, len(part), CHUNK_BYTES):
             chunk = part[start : start + CHUNK_BYTES]
             if not _wait_for_credit(exchange, deadline_at_ms, now_ms):
                 return False
-            exchange.send(BodyChunk(chunk))
+            exchange.send(BodyChunk(chunk), deadline_at_ms - now_ms())
             exchange.credit -= len(chunk)
-    exchange.send(BodyChunk(b'', True))
+    exchange.send(BodyChunk(b'', True), deadline_at_ms - now_ms())
     return True
 
 
--- a/damasklanding/node/peers.py
+++ b/damasklanding/node/peers.py
@@ -65,7 +65,8 @@
         request = self._request(call, link, retries)
         exchange = link.open_exchange()
         try:
-            exchange.send(request)
+            # A send that fails has sent nothing.
+            exchange.send(request, call.deadline_at_ms - self._now_ms())
             call.maybe_sent = True
             call.exchange = exchange
             answer = self._answer(exchange, call)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -1,4 +1,5 @@
 from collections import Counter
+import random
 
 import gevent
 from gevent import socket as gsocket
@@ -6,12 +7,15 @@
 
 from bench.relay import Relay
 from damasklanding import handshake
+from damasklanding.clock import monotonic_ms
 from damasklanding.errors import Forbidden
 from damasklanding.errors import LinkClosed
 from damasklanding.errors import LinkTimeout
 from damasklanding.errors import NotFound
 from damasklanding.handshake import open_handshake
+from damasklanding.link import MAX_BACKLOG_BYTES
 from damasklanding.link import Identity
+from damasklanding.link import Link
 from damasklanding.link import LinkOptions
 from damasklanding.link import open_link
 from damasklanding.link import parse_address
@@ -19,11 +23,15 @@
 from damasklanding.linkserver import LinkServer
 from damasklanding.messages import MESSAGE_LEVEL
 from damasklanding.messages import BodyChunk
+from damasklanding.messages import Ping
 from damasklanding.messages import Propose
 from damasklanding.messages import ProposeReply
 from damasklanding.messages import StatusRequest
+from damasklanding.node.bodies import send_parts
 from damasklanding.periodic import PeriodicTimer
+from damasklanding.wire import decode_frame
 from damasklanding.wire import encode_frame
+from damasklanding.wire import frame_length
 
 NODE = Identity('node-a', 'node', 'i1')
 CONTROL_HOST = Identity('host-a', 'control', 'i2')
@@ -265,3 +273,165 @@
         assert not aging.link.closed.is_set()
         assert aging.link._ping_seq >= 8
     server.stop()
+
+
+def linked_pair():
+    """Return a link and the bare socket at its other end."""
+    near, far = gsocket.socketpair()
+    link = Link(near, CONTROL_HOST, {}, True, LinkOptions())
+    link.start()
+    return link, far
+
+
+def payloads_of(data):
+    """Return the payloads of the whole frames at the begin of some bytes."""
+    payloads = []
+    while len(data) >= 4 and len(data) >= 4 + frame_length(data, 0):
+        end = 4 + frame_length(data, 0)
+        message = decode_frame(data[4:end])[1]
+        if type(message) is Propose:  # and no heartbeat
+            payloads.append(message.payload)
+        data = data[end:]
+    return payloads
+
+
+def fill(link):
+    """Send until a further frame has to wait."""
+    while link._backlog_bytes <= MAX_BACKLOG_BYTES:
+        gevent.spawn(link.send, Propose('g', bytes(60_000)), 1)
+        gevent.sleep(0)
+
+
+def read_all(far):
+    data = b''
+    with gevent.Timeout(0.5, False):
+        while True:
+            data += far.recv(65_536)
+    return data
+
+
+@pytest.mark.parametrize('end', ['left', 'time', 'closed'])
+def test_frame_whose_send_ended_in_the_wait_for_room_never_leaves(end):
+    # Guards against bookings that run twice: a request counts as not sent
+    # if its send fails, whether its caller leaves, its time ends or the link
+    # closes.
+    link, far = linked_pair()
+    fill(link)
+    limit_ms = 20 if end == 'time' else None
+    waiting = gevent.spawn(link.send, Propose('g', b'late'), 1, limit_ms)
+    gevent.sleep(0.01)
+    if end == 'left':
+        waiting.kill()
+    elif end == 'closed':
+        link.close()
+    gevent.wait([waiting], timeout=1)
+    expected = {'left': type(None), 'time': LinkTimeout, 'closed': LinkClosed}
+    assert type(waiting.exception) is expected[end]
+    assert b'late' not in payloads_of(
+        read_all(far) if end != 'closed' else b''
+    )
+    link.close()
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_frame_that_the_peer_has_read_has_been_sent_without_an_error(seed):
+    # Guards against bookings that run twice after the reset of a link.
+    source = random.Random(seed)
+    link, far = linked_pair()
+    failed = set()
+
+    def send_one_after_the_other(sender):
+        for number in range(1_000_000):
+            payload = b'%d/%d ' % (sender, number) + bytes(60_000)
+            try:
+                link.send(Propose('g', payload), 1)
+            except LinkClosed:
+                failed.add(payload)
+                return
+
+    senders = [gevent.spawn(send_one_after_the_other, n) for n in range(60)]
+    data = b''
+    most_bytes = source.randint(3, 8) * 1_000_000
+    while len(data) < most_bytes:
+        data += far.recv(65_536)
+        gevent.sleep(0.001)
+    far.close()
+    link.close()
+    gevent.joinall(senders, timeout=5)
+    assert len(failed) == len(senders)
+    assert failed.isdisjoint(payloads_of(data))
+
+
+@pytest.mark.parametrize('size', [0, 60_000])
+def test_frames_that_wait_for_room_are_sent_in_turn(size):
+    link, far = linked_pair()
+    fill(link)
+    waiting = [
+        gevent.spawn(link.send, Propose('g', b'%d-' % n + bytes(size)), 1)
+        for n in range(60)
+    ]
+    gevent.sleep(0.01)
+    for place in (0, 7, 59):
+        waiting[place].kill()
+    late = [
+        int(payload.split(b'-')[0])
+        for payload in payloads_of(read_all(far))
+        if b'-' in payload
+    ]
+    assert late == [n for n in range(60) if n not in (0, 7, 59)]
+    assert all(greenlet.ready() for greenlet in waiting)
+    assert link._backlog_bytes == 0
+    link.close()
+
+
+def test_upload_to_a_node_that_does_not_read_ends_with_its_time():
+    # Guards against uploads without an answer at the end of their time.
+    link, _far = linked_pair()
+    fill(link)
+    exchange = link.open_exchange()
+    until_ms = monotonic_ms() + 50
+    with gevent.Timeout(1), pytest.raises(LinkTimeout):
+        send_parts(exchange, [b'part'], until_ms, monotonic_ms)
+    link.close()
+
+
+def test_frames_wait_no_longer_than_the_peer_reads(monkeypatch):
+    # Guards against a stall: frames that got room may leave at once, so that
+    # no backlog is left whose writer would let the others in.
+    monkeypatch.setattr('damasklanding.link.MAX_BACKLOG_BYTES', 4_000)
+    link, far = linked_pair()
+    waiting = [
+        gevent.spawn(link.send, Propose('g', bytes(1_000)), 1)
+        for _ in range(1_000)
+    ]
+    gevent.sleep(0.01)
+    assert len(payloads_of(read_all(far))) == len(waiting)
+    assert all(greenlet.ready() for greenlet in waiting)
+    link.close()
+
+
+def test_cancel_does_not_wait_for_room():
+    # A caller that leaves is not held up by the frames of others.
+    link, far = linked_pair()
+    fill(link)
+    exchange = link.open_exchange()
+    with gevent.Timeout(0.5):
+        exchange.cancel()
+    link.close()
+    far.close()
+
+
+def test_heartbeat_goes_before_the_backlog():
+    # A proof that a link works must not wait for the frames queued on it.
+    link, far = linked_pair()
+    fill(link)
+    with gevent.Timeout(0.5):
+        link._ping()
+    data = read_all(far)
+    kinds = []
+    while data:
+        end = 4 + frame_length(data, 0)
+        kinds.append(type(decode_frame(data[4:end])[1]))
+        data = data[end:]
+    assert Ping in kinds[: len(kinds) // 2]
+    link.close()
