--- a/damasklanding/control/applier.py
+++ b/damasklanding/control/applier.py
@@ -24,12 +24,15 @@
     Applies entries for one replica.
 
     :ivar index: index of the latest entry that was applied.
+    :ivar bytes_since_snapshot: size of the payloads of the entries applied
+        since the last snapshot was taken.
     :ivar paused: whether applying is paused because a received snapshot is
         replacing the state.
     """
 
     def __init__(self, replica):
         self.index = replica.journal.snapshot.index
+        self.bytes_since_snapshot = 0
         self.paused = False
         self._replica = replica
         self._apply_requested = Event()
@@ -43,6 +46,7 @@
     def reset_to_snapshot(self, index):
         """Continue after the index of a snapshot that replaced the state."""
         self.index = index
+        self.bytes_since_snapshot = 0
         self._notify_waiters()
         self.wake()
 
@@ -79,6 +83,7 @@
         if entry.kind == 'command':
             outcome = self._apply_command(entry)
         self.index = entry.index
+        self.bytes_since_snapshot += len(entry.payload)
         if entry.kind == 'members':
             replica.on_members_committed(entry.index)
         replica.proposals.resolve(entry, outcome)
@@ -108,9 +113,15 @@
         with self._snapshot_lock:
             if self.paused or not snapshot_due(self._replica):
                 return
+            covered_bytes = self.bytes_since_snapshot
             try:
                 take_snapshot(self._replica)
             except Unavailable:
                 self._replica.hand_over_leadership(
                     'its log can not be compacted'
                 )
+                return
+            # A received snapshot may have covered more meanwhile.
+            self.bytes_since_snapshot = max(
+                0, self.bytes_since_snapshot - covered_bytes
+            )
--- a/damasklanding/control/journal.py
+++ b/damasklanding/control/journal.py
@@ -199,14 +199,15 @@
         if self._durable_vote != self.vote:
             shielded(self._store_vote)
 
-    def save_snapshot(self, snapshot, keep_entries=0):
+    def save_snapshot(self, snapshot, keep_entries=0, keep_bytes=float('inf')):
         """
         Store a snapshot and drop the entries that it covers.
 
-        :param keep_entries: how many of these entries to keep for followers
-            that are slightly behind.
+        :param keep_entries: how many of these entries to keep at most for
+            followers that are slightly behind.
+        :param keep_bytes: size of the payloads of the kept entries at most.
         """
-        shielded(self._store_snapshot, snapshot, keep_entries)
+        shielded(self._store_snapshot, snapshot, keep_entries, keep_bytes)
 
     def close(self, flush=True):
         """
@@ -240,7 +241,7 @@
             in_thread(self._write_vote, vote)
             self._durable_vote = vote
 
-    def _store_snapshot(self, snapshot, keep_entries):
+    def _store_snapshot(self, snapshot, keep_entries, keep_bytes):
         with self._snapshot_lock:
             self.ensure_writable()
             if snapshot.index <= self.snapshot.index:
@@ -252,7 +253,9 @@
                 self.ensure_writable()
             self.snapshot = snapshot
         if self.term_at(snapshot.index) == snapshot.term:
-            self._drop_through(snapshot.index - keep_entries)
+            self._drop_through(
+                self._last_to_drop(snapshot.index, keep_entries, keep_bytes)
+            )
         else:
             self._clear_log(snapshot)
         self._rewrite_requested = True
@@ -266,6 +269,17 @@
         self._write_requested.set()
         self._notify_waiters()
 
+    def _last_to_drop(self, index, keep_entries, keep_bytes):
+        """Return the last index to drop so that entries up to one are kept."""
+        first_index = max(self.base_index, index - keep_entries)
+        kept_bytes = 0
+        while index > first_index:
+            kept_bytes += len(self.entry(index).payload)
+            if kept_bytes > keep_bytes:
+                break
+            index -= 1
+        return index
+
     def _drop_through(self, index):
         count = index - self.base_index
         if count <= 0:
--- a/damasklanding/control/snapshots.py
+++ b/damasklanding/control/snapshots.py
@@ -34,13 +34,18 @@
 
 
 def snapshot_due(replica):
-    """Return whether the log has grown enough to be compacted."""
-    journal = replica.journal
-    entries = replica.applied_index - journal.snapshot.index
+    """
+    Return whether the log has grown enough to be compacted.
+
+    Its size counts as well as its length: an empty host has to take and to
+    apply all that follows the snapshot, and each host keeps it in memory and
+    reads it at a start.
+    """
+    timing = replica.timing
+    entries = replica.applied_index - replica.journal.snapshot.index
     return (
-        entries >= replica.timing.snapshot_entries
-        or entries > MAX_RETAINED_ENTRIES
-        and journal.log_bytes >= replica.timing.snapshot_bytes
+        entries >= timing.snapshot_entries
+        or replica.applier.bytes_since_snapshot >= timing.snapshot_bytes
     )
 
 
@@ -58,10 +63,12 @@
         encode_members(replica.membership.members_at(index)),
         replica.state_machine.snapshot(),
     )
-    retained_entries = min(
-        MAX_RETAINED_ENTRIES, replica.timing.snapshot_entries // 4
+    timing = replica.timing
+    replica.journal.save_snapshot(
+        snapshot,
+        keep_entries=min(MAX_RETAINED_ENTRIES, timing.snapshot_entries // 4),
+        keep_bytes=timing.snapshot_bytes // 4,
     )
-    replica.journal.save_snapshot(snapshot, retained_entries)
     replica.membership.forget_before(index)
 
 
--- a/damasklanding/control/timing.py
+++ b/damasklanding/control/timing.py
@@ -27,8 +27,9 @@
     :ivar snapshot_timeout_ms: timeout of one chunk of a snapshot.
     :ivar snapshot_entries: applied entries since the last snapshot that cause
         a new one.
-    :ivar snapshot_bytes: size of the log file that causes a new snapshot, if
-        compaction would drop entries.
+    :ivar snapshot_bytes: size of the payloads of the applied entries since
+        the last snapshot that causes a new one.  A quarter of it stays in
+        the log for followers that are slightly behind.
     """
 
     heartbeat_ms: int = 100
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -10,6 +10,7 @@
 from damasklanding.errors import NotLeader
 from damasklanding.errors import TooLarge
 from damasklanding.errors import Unavailable
+from damasklanding.messages import AppendRequest
 
 
 @contextmanager
@@ -163,6 +164,42 @@
         network.check_converged()
 
 
+def test_empty_host_gets_a_snapshot_where_few_entries_are_large(tmp_path):
+    # Guards against an empty host that takes so long for the whole history
+    # that further losses end the group.
+    timing = replace(
+        FAST_TIMING, snapshot_entries=4_096, snapshot_bytes=200_000
+    )
+    with replica_network(tmp_path, timing=timing) as network:
+        leader = network.leader()
+        wiped = others(network, leader.name)[0]
+        for number in range(60):
+            network.propose_until_committed(b'%d ' % number + bytes(20_000))
+        network.wipe(wiped)
+        received = []
+        send = network.send
+
+        def record(source, target, message, timeout_ms):
+            if target == wiped and type(message) is AppendRequest:
+                received.extend(len(e.payload) for e in message.entries)
+            return send(source, target, message, timeout_ms)
+
+        network.send = record
+        network.start(wiped)
+        eventually(network.all_admitted)
+        network.converge()
+        network.check_converged()
+        # What the log may hold: the entries since the snapshot, those kept for
+        # followers, and those that were added while it was taken.
+        most_bytes = 1.25 * timing.snapshot_bytes + 2 * 20_100
+        assert sum(received) <= most_bytes
+        for replica in network.replicas.values():
+            journal = replica.journal
+            kept = journal.entries_from(journal.base_index + 1, 9_999, 1 << 40)
+            kept_bytes = sum(len(entry.payload) for entry in kept)
+            assert kept_bytes <= most_bytes
+
+
 def test_all_hosts_restart_at_once(tmp_path):
     with replica_network(tmp_path) as network:
         for number in range(60):
