Changes kept for watchers are bounded in bytes

Cause: DeltaLog, which control hosts and nodes as relays hold, kept 4,096 revisions whatever their size. Change: it keeps 4 MiB of changed resources as well at most, and the latest change in any case. Ruled out: a bound on the number alone, as one change may hold all routes. Evidence: test_changes_kept_for_watchers_are_bounded_in_bytes failed before (all 49 revisions are kept) and passes; the seeded test of states runs with small bounds of either kind, 120 cases.

--- a/damasklanding/control/deltas.py
+++ b/damasklanding/control/deltas.py
@@ -22,6 +22,9 @@
 ]
 
 MAX_KEPT_DELTAS = 4_096
+#: Of the resources in the kept changes.  The latest change is kept even if it
+#: is larger.
+MAX_KEPT_BYTES = 4 * 1024 * 1024
 
 
 @dataclass(frozen=True)
@@ -59,6 +62,7 @@
     """
     The changes of one revision.
 
+    :ivar size: bytes of the changed resources.
     :ivar services_before: service of each changed backend server before.
     """
 
@@ -66,6 +70,7 @@
     revision: int
     changes: list
     services_before: dict
+    size: int
 
 
 class DeltaLog:
@@ -77,7 +82,7 @@
 
     def __init__(self, state):
         self._state = state
-        self._deltas = deque(maxlen=MAX_KEPT_DELTAS)
+        self._deltas = deque()
         self._encodings = {}
         self._begin()
 
@@ -99,11 +104,15 @@
         if state.revision == self._last_revision:
             return False
         self._last_revision = state.revision
-        if len(self._deltas) == MAX_KEPT_DELTAS:
-            self._first_revision = self._deltas[0].revision
+        size = sum(len(c.name) + len(c.value or b'') for c in changes)
         self._deltas.append(
-            _Delta(state.term, state.revision, changes, services_before)
+            _Delta(state.term, state.revision, changes, services_before, size)
         )
+        self._kept_bytes += size
+        while self._holds_too_much():
+            dropped = self._deltas.popleft()
+            self._first_revision = dropped.revision
+            self._kept_bytes -= dropped.size
         self._encodings.clear()
         return True
 
@@ -139,6 +148,7 @@
         """Begin the log at the present revision, without changes."""
         state = self._state
         self._deltas.clear()
+        self._kept_bytes = 0
         self._encodings.clear()
         self._replacements = state.replacements
         self._first_revision = state.revision
@@ -148,6 +158,11 @@
             for name, backend in state.all('backend').items()
         }
 
+    def _holds_too_much(self):
+        return len(self._deltas) > MAX_KEPT_DELTAS or (
+            len(self._deltas) > 1 and self._kept_bytes > MAX_KEPT_BYTES
+        )
+
     def _move_backends(self, changes):
         """Return the service that each changed backend server had before."""
         before = {}
--- a/tests/test_watch_server.py
+++ b/tests/test_watch_server.py
@@ -278,11 +278,35 @@
             assert held == expected
 
 
+def test_changes_kept_for_watchers_are_bounded_in_bytes(monkeypatch):
+    # Guards against processes that are killed for their memory after some
+    # hundred changes of all routes.
+    monkeypatch.setattr(deltas, 'MAX_KEPT_BYTES', 20_000)
+    view = FleetView()
+    log = deltas.DeltaLog(view.state)
+    view.subscribe(log.append)
+    for revision in range(1, 50):
+        changes = [
+            Change.put('host_route', MAKERS['host_route'](f'r{n}', revision))
+            for n in range(100)
+        ]
+        view.apply(1, revision, changes)
+        size = sum(len(c.name) + len(c.value) for c in changes)
+        kept = [r for r in range(revision) if log.reaches_back_to(r)]
+        assert (revision - min(kept, default=revision) - 1) * size <= 20_000
+        assert log.reaches_back_to(max(1, revision - 1))
+
+
+@pytest.mark.parametrize('limits', [(4, 10**9), (10**9, 300)])
 @pytest.mark.parametrize('seed', range(60))
-def test_who_names_a_revision_holds_exactly_its_state(monkeypatch, seed):
+def test_who_names_a_revision_holds_exactly_its_state(
+    monkeypatch, seed, limits
+):
     # Guards against nodes that keep what was removed, whatever the order of
     # changes, installed snapshots, restarts, freezes and changes of source.
-    monkeypatch.setattr(deltas, 'MAX_KEPT_DELTAS', 4)
+    most_deltas, most_bytes = limits
+    monkeypatch.setattr(deltas, 'MAX_KEPT_DELTAS', most_deltas)
+    monkeypatch.setattr(deltas, 'MAX_KEPT_BYTES', most_bytes)
     model = FleetModel(seed)
     steps = [
         model.commit,
