A start and a compaction hold the log once

Cause, beside the log that was not compacted by its size: a start read the whole segment, decoded it and encoded all of it once more, three copies at a time; a compaction encoded what is kept in one piece, which took hosts over their memory at their first one. Change: a segment is read batch by batch, and written in batches of 1 MiB; the format is the same. Ruled out: leaving out the second writing at a start, as it proves that what was read is on the disk.

--- a/damasklanding/control/journal.py
+++ b/damasklanding/control/journal.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from damasklanding.control.segment import encode_batch
+from damasklanding.control.segment import encode_batches
 from damasklanding.control.segment import read_batches
 from damasklanding.control.storage import create_file
 from damasklanding.control.storage import in_thread
@@ -363,16 +364,17 @@
         event.set()
 
     def _encode_log(self):
-        return encode_batch(self._entries, self.base_index, self.base_term)
+        entries = list(self._entries)  # is encoded while others are appended
+        return encode_batches(entries, self.base_index, self.base_term)
 
     def _write_batch(self, data):
         write_all(self._file, data)
         self._sync_file(self._file.fileno())
         self.log_bytes += len(data)
 
-    def _start_segment(self, data, number):
+    def _start_segment(self, batches, number):
         path = self._path(f'segment-{number:012d}')
-        file = create_file(f'{path}.new', data, self._sync_file)
+        file = create_file(f'{path}.new', batches, self._sync_file)
         try:
             os.rename(f'{path}.new', path)
             sync_folder(self.folder)
@@ -382,7 +384,7 @@
         self._close_file()
         self._file = file
         self._segment_number = number
-        self.log_bytes = len(data)
+        self.log_bytes = file.tell()
         self._remove_segments_before(number)
 
     def _close_file(self):
@@ -446,17 +448,16 @@
         return msgspec.msgpack.decode(data, type=Snapshot)
 
     def _load_segment(self, path):
+        is_empty = True
         with open(path, 'rb') as file:
-            data = file.read()
-        end = 0
-        for batch, after in read_batches(path, data):
-            end = after
-            if batch.base_index >= 0:
-                self.base_index = batch.base_index
-                self.base_term = batch.base_term
-                self._entries = []
-            self._load_entries(path, batch)
-        if not end:
+            for batch in read_batches(path, file):
+                is_empty = False
+                if batch.base_index >= 0:
+                    self.base_index = batch.base_index
+                    self.base_term = batch.base_term
+                    self._entries = []
+                self._load_entries(path, batch)
+        if is_empty:
             raise CorruptStore(f'{path} has no complete first batch')
         self._segment_number = int(path.rpartition('-')[2])
 
--- a/damasklanding/control/segment.py
+++ b/damasklanding/control/segment.py
@@ -14,9 +14,10 @@
 
 from damasklanding.errors import CorruptStore
 
-__all__ = ['Batch', 'encode_batch', 'read_batches']
+__all__ = ['Batch', 'encode_batch', 'encode_batches', 'read_batches']
 
 SECTOR_BYTES = 512
+MAX_BATCH_BYTES = 1_048_576  # of the payloads in one batch of a new segment
 
 #: Length of the body, checksum of the body, checksum of these two fields.
 _HEADER = struct.Struct('<III')
@@ -51,13 +52,31 @@
     return prefix + _CHECKSUM.pack(zlib.crc32(prefix)) + body
 
 
+def encode_batches(entries, base_index, base_term):
+    """
+    Yield the encoded batches of a new segment.
+
+    Each but the first, which may be empty, has at least one entry, and more
+    only up to ``MAX_BATCH_BYTES``.
+    """
+    batch, payload_bytes = [], 0
+    for entry in entries:
+        payload_bytes += len(entry.payload)
+        if batch and payload_bytes > MAX_BATCH_BYTES:
+            yield encode_batch(batch, base_index, base_term)
+            batch, payload_bytes = [], len(entry.payload)
+            base_index, base_term = -1, 0
+        batch.append(entry)
+    yield encode_batch(batch, base_index, base_term)
+
+
 def _is_zero_filled(data):
     return not any(bytes(data))
 
 
-def read_batches(path, data):
+def read_batches(path, file):
     """
-    Yield each batch with the offset of its end.
+    Yield the batches of an open file, one in memory at a time.
 
     An incomplete batch at the end of the file ends the iteration, since a
     crash during a write leaves one.  Its unwritten part can be missing or
@@ -66,24 +85,23 @@
     :raises CorruptStore: the data is damaged in a way that an interrupted
         write can't cause.
     """
-    offset = 0
-    data = memoryview(data)
-    while offset < len(data):
-        remaining = data[offset:]
-        if len(remaining) < _HEADER.size:
+    while True:
+        offset = file.tell()
+        header = file.read(_HEADER.size)
+        if len(header) < _HEADER.size:
             return
-        length, checksum, header_checksum = _HEADER.unpack_from(remaining)
-        body = remaining[_HEADER.size : _HEADER.size + length]
-        if zlib.crc32(remaining[: _PREFIX.size]) != header_checksum:
-            if _is_zero_filled(remaining[_HEADER.size :]):
+        length, checksum, header_checksum = _HEADER.unpack(header)
+        if zlib.crc32(header[: _PREFIX.size]) != header_checksum:
+            if _is_zero_filled(file.read()):
                 return
             raise CorruptStore(f'{path} is damaged at byte {offset}')
+        body = file.read(length)
         if len(body) < length:
             return
         if zlib.crc32(body) != checksum:
-            is_last = len(remaining) == _HEADER.size + length
-            if is_last and _is_zero_filled(remaining[-SECTOR_BYTES:]):
+            is_last = not file.read(1)
+            end = body if length >= SECTOR_BYTES else header + body
+            if is_last and _is_zero_filled(end[-SECTOR_BYTES:]):
                 return
             raise CorruptStore(f'{path} is damaged at byte {offset}')
-        offset += _HEADER.size + length
-        yield _decode_batch(body), offset
+        yield _decode_batch(body)
--- a/damasklanding/control/storage.py
+++ b/damasklanding/control/storage.py
@@ -90,9 +90,9 @@
         view = view[file.write(view) :]
 
 
-def create_file(path, data, sync_file=os.fsync):
+def create_file(path, parts, sync_file=os.fsync):
     """
-    Create a file with the given data and return it, open for writing.
+    Create a file of some parts and return it, open for writing.
 
     An existing file at the path is removed first, since pages of it can have
     been dropped by a failed sync.  Blocks the thread until the data is
@@ -104,7 +104,8 @@
         os.unlink(path)
     file = open(path, 'wb', buffering=0)  # noqa: SIM115
     try:
-        write_all(file, data)
+        for part in parts:
+            write_all(file, part)
         sync_file(file.fileno())
     except OSError:
         with suppress(OSError):
@@ -123,7 +124,7 @@
     """
     temporary = f'{path}.new'
     checksum = _CHECKSUM.pack(zlib.crc32(data))
-    create_file(temporary, checksum + data, sync_file).close()
+    create_file(temporary, (checksum, data), sync_file).close()
     os.rename(temporary, path)
     sync_folder(os.path.dirname(path))
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,12 +1,17 @@
 import glob
+from io import BytesIO
 import os
 import random
+import tracemalloc
 
 import pytest
 
 from damasklanding.control.journal import Journal
 from damasklanding.control.journal import Snapshot
 from damasklanding.control.journal import Vote
+from damasklanding.control.segment import MAX_BATCH_BYTES
+from damasklanding.control.segment import encode_batches
+from damasklanding.control.segment import read_batches
 from damasklanding.control.storage import locked_folder
 from damasklanding.errors import BadSetting
 from damasklanding.errors import CorruptStore
@@ -197,6 +202,50 @@
     journal.close()
 
 
+def test_start_and_compaction_hold_the_log_once(tmp_path):
+    # Guards against hosts that need several times the size of their log at
+    # a start, are killed for it, and never come back.
+    size, count = 500_000, 60
+    write_journal(tmp_path, batches=count // 3, size=size)
+    tracemalloc.start()
+    try:
+        journal = open_journal(tmp_path)
+        _, opened_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.reset_peak()
+        journal.save_snapshot(Snapshot(1, 1, b'', b'state'), keep_entries=1)
+        journal.sync()
+        _, compacted_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    # A copy of a batch or two may stand beside the log, but none of the log.
+    assert opened_bytes <= 1.25 * count * size
+    assert compacted_bytes <= 1.25 * count * size
+    journal.close()
+    journal = open_journal(tmp_path)
+    assert journal.last_index == count
+    assert stored_entries(journal) == make_entries(1, count, size=size)
+    journal.close()
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_segment_of_several_batches_is_read_as_it_was_written(seed):
+    source = random.Random(seed)
+    entries = [
+        LogEntry(
+            2, 7 + n, 'command', source.randbytes(source.randrange(900_000))
+        )
+        for n in range(source.randrange(8))
+    ]
+    batches = list(encode_batches(entries, 6, 1))
+    read = list(read_batches('segment', BytesIO(b''.join(batches))))
+    assert (read[0].base_index, read[0].base_term) == (6, 1)
+    assert all(batch.base_index == -1 for batch in read[1:])
+    assert [LogEntry(*row) for b in read for row in b.entries] == entries
+    for batch in read:
+        size = sum(len(payload) for _, _, _, payload in batch.entries)
+        assert size <= MAX_BATCH_BYTES
+
+
 def test_failing_disk_fails_every_waiter(tmp_path):
     def fail(_number):
         raise OSError(28, 'no space left')
