--- a/damasklanding/control/journal.py
+++ b/damasklanding/control/journal.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from damasklanding.control.segment import encode_batch
+from damasklanding.control.segment import encode_batches
 from damasklanding.control.segment import read_batches
 from damasklanding.control.storage import create_file
 from damasklanding.control.storage import in_thread
@@ -199,14 +200,15 @@
         if self._durable_vote != self.vote:
             shielded(self._store_vote)
 
-    def save_snapshot(self, snapshot, keep_entries=0):
+    def save_snapshot(self, snapshot, keep_entries=0, keep_bytes=float('inf')):
         """
         Store a snapshot and drop the entries that it covers.
 
-        :param keep_entries: how many of these entries to keep for followers
-            that are slightly behind.
+        :param keep_entries: how many of these entries to keep at most for
+            followers that are slightly behind.
+        :param keep_bytes: size of the payloads of the kept entries at most.
         """
-        shielded(self._store_snapshot, snapshot, keep_entries)
+        shielded(self._store_snapshot, snapshot, keep_entries, keep_bytes)
 
     def close(self, flush=True):
         """
@@ -240,7 +242,7 @@
             in_thread(self._write_vote, vote)
             self._durable_vote = vote
 
-    def _store_snapshot(self, snapshot, keep_entries):
+    def _store_snapshot(self, snapshot, keep_entries, keep_bytes):
         with self._snapshot_lock:
             self.ensure_writable()
             if snapshot.index <= self.snapshot.index:
@@ -252,7 +254,9 @@
                 self.ensure_writable()
             self.snapshot = snapshot
         if self.term_at(snapshot.index) == snapshot.term:
-            self._drop_through(snapshot.index - keep_entries)
+            self._drop_through(
+                self._last_to_drop(snapshot.index, keep_entries, keep_bytes)
+            )
         else:
             self._clear_log(snapshot)
         self._rewrite_requested = True
@@ -266,6 +270,17 @@
         self._write_requested.set()
         self._notify_waiters()
 
+    def _last_to_drop(self, index, keep_entries, keep_bytes):
+        """Return the last index to drop so that entries up to one are kept."""
+        first_index = max(self.base_index, index - keep_entries)
+        kept_bytes = 0
+        while index > first_index:
+            kept_bytes += len(self.entry(index).payload)
+            if kept_bytes > keep_bytes:
+                break
+            index -= 1
+        return index
+
     def _drop_through(self, index):
         count = index - self.base_index
         if count <= 0:
@@ -349,16 +364,17 @@
         event.set()
 
     def _encode_log(self):
-        return encode_batch(self._entries, self.base_index, self.base_term)
+        entries = list(self._entries)  # is encoded while others are appended
+        return encode_batches(entries, self.base_index, self.base_term)
 
     def _write_batch(self, data):
         write_all(self._file, data)
         self._sync_file(self._file.fileno())
         self.log_bytes += len(data)
 
-    def _start_segment(self, data, number):
+    def _start_segment(self, batches, number):
         path = self._path(f'segment-{number:012d}')
-        file = create_file(f'{path}.new', data, self._sync_file)
+        file = create_file(f'{path}.new', batches, self._sync_file)
         try:
             os.rename(f'{path}.new', path)
             sync_folder(self.folder)
@@ -368,7 +384,7 @@
         self._close_file()
         self._file = file
         self._segment_number = number
-        self.log_bytes = len(data)
+        self.log_bytes = file.tell()
         self._remove_segments_before(number)
 
     def _close_file(self):
@@ -432,17 +448,16 @@
         return msgspec.msgpack.decode(data, type=Snapshot)
 
     def _load_segment(self, path):
+        is_empty = True
         with open(path, 'rb') as file:
-            data = file.read()
-        end = 0
-        for batch, after in read_batches(path, data):
-            end = after
-            if batch.base_index >= 0:
-                self.base_index = batch.base_index
-                self.base_term = batch.base_term
-                self._entries = []
-            self._load_entries(path, batch)
-        if not end:
+            for batch in read_batches(path, file):
+                is_empty = False
+                if batch.base_index >= 0:
+                    self.base_index = batch.base_index
+                    self.base_term = batch.base_term
+                    self._entries = []
+                self._load_entries(path, batch)
+        if is_empty:
             raise CorruptStore(f'{path} has no complete first batch')
         self._segment_number = int(path.rpartition('-')[2])
 
