--- a/damasklanding/control/segment.py
+++ b/damasklanding/control/segment.py
@@ -56,8 +56,8 @@
     """
     Yield the encoded batches of a new segment.
 
-    Each but the first, which may be empty, has at least one entry, and more
-    only up to ``MAX_BATCH_BYTES``.
+    There is at least one, which is empty without entries.  A batch of several
+    entries holds at most ``MAX_BATCH_BYTES`` of payloads.
     """
     batch, payload_bytes = [], 0
     for entry in entries:
--- a/damasklanding/control/storage.py
+++ b/damasklanding/control/storage.py
@@ -92,7 +92,7 @@
 
 def create_file(path, parts, sync_file=os.fsync):
     """
-    Create a file of some parts and return it, open for writing.
+    Create a file from consecutive parts and return it, open for writing.
 
     An existing file at the path is removed first, since pages of it can have
     been dropped by a failed sync.  Blocks the thread until the data is
