--- a/damasklanding/control/applier.py
+++ b/damasklanding/control/applier.py
@@ -121,7 +121,7 @@
                     'its log can not be compacted'
                 )
                 return
-            # A received snapshot may have covered more meanwhile.
+            # A snapshot received meanwhile may have reset the count.
             self.bytes_since_snapshot = max(
                 0, self.bytes_since_snapshot - covered_bytes
             )
--- a/damasklanding/control/deltas.py
+++ b/damasklanding/control/deltas.py
@@ -22,8 +22,8 @@
 ]
 
 MAX_KEPT_DELTAS = 4_096
-#: Of the resources in the kept changes.  The latest change is kept even if it
-#: is larger.
+#: Limit of the encoded resources in all kept changes.  The latest change is
+#: kept even if it alone exceeds the limit.
 MAX_KEPT_BYTES = 4 * 1024 * 1024
 
 
--- a/damasklanding/link.py
+++ b/damasklanding/link.py
@@ -246,13 +246,13 @@
             self._wait_for_turn(len(data), timeout_ms)
         self._send_bytes(data, ahead=urgent and not exchange_id)
         if self._turns:
-            # Without a backlog no writer runs that would do it.
+            # The writer grants turns only while there is a backlog.
             self._grant_turns()
 
     def _send_bytes(self, data, ahead):
         # A greenlet may be killed while it waits and must not leave half a
         # frame on the connection.  The writer therefore sends what the socket
-        # does not accept at once, and nothing here waits.
+        # does not accept at once; this method never waits.
         if self.closed.is_set():
             raise LinkClosed(f'the link to {self.peer.name} closed')
         if not self._backlog:
@@ -260,7 +260,7 @@
             if not data:
                 return
         if ahead and self._backlog:
-            # A part of the first frame may have left.
+            # Not before the first frame, which may be partly sent.
             self._backlog.insert(1, data)
         else:
             self._backlog.append(data)
--- a/damasklanding/node/peers.py
+++ b/damasklanding/node/peers.py
@@ -65,7 +65,7 @@
         request = self._request(call, link, retries)
         exchange = link.open_exchange()
         try:
-            # A send that fails has sent nothing.
+            # If this raises, no byte of the request has left.
             exchange.send(request, call.deadline_at_ms - self._now_ms())
             call.maybe_sent = True
             call.exchange = exchange
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -305,8 +305,8 @@
 def read_all(far):
     data = b''
     with gevent.Timeout(0.5, False):
-        while True:
-            data += far.recv(65_536)
+        while part := far.recv(65_536):
+            data += part
     return data
 
 
@@ -317,8 +317,8 @@
     # closes.
     link, far = linked_pair()
     fill(link)
-    limit_ms = 20 if end == 'time' else None
-    waiting = gevent.spawn(link.send, Propose('g', b'late'), 1, limit_ms)
+    limits = {'timeout_ms': 20} if end == 'time' else {}
+    waiting = gevent.spawn(link.send, Propose('g', b'late'), 1, **limits)
     gevent.sleep(0.01)
     if end == 'left':
         waiting.kill()
@@ -327,9 +327,7 @@
     gevent.wait([waiting], timeout=1)
     expected = {'left': type(None), 'time': LinkTimeout, 'closed': LinkClosed}
     assert type(waiting.exception) is expected[end]
-    assert b'late' not in payloads_of(
-        read_all(far) if end != 'closed' else b''
-    )
+    assert b'late' not in payloads_of(read_all(far))
     link.close()
 
 
